--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of berylspool; see docs/BENCHMARKS.md."""
--- /dev/null
+++ b/bench/deployment.py
@@ -0,0 +1,157 @@
+"""Start and stop a deployment on loopback for a benchmark."""
+
+import contextlib
+import copy
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+READY_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 15.0
+COMMAND = [sys.executable, "-m", "berylspool"]
+
+
+@dataclass
+class Deployment:
+    """Processes of one deployment and the folder they run in."""
+
+    folder: Path
+    settings: dict[str, Any]
+    process_by_name: dict[str, subprocess.Popen] = field(default_factory=dict)
+
+    @property
+    def settings_path(self) -> Path:
+        return self.folder / "settings.yaml"
+
+    def start(self, role: str, name: str, *arguments: str) -> None:
+        """Start one process; its errors go to a file in the folder."""
+        path = str(self.settings_path)
+        command = [*COMMAND, role, "--settings", path, *arguments]
+        errors = open(self.folder / f"{name}.err", "ab")  # noqa: SIM115
+        self.process_by_name[name] = subprocess.Popen(
+            command, cwd=self.folder, stdout=errors, stderr=errors
+        )
+
+    def start_entry(self, name: str) -> None:
+        self.start("entry", name, "--name", name)
+
+    def start_control(self, name: str) -> None:
+        self.start("control", name, "--name", name)
+
+    def signal(self, name: str, number: int) -> None:
+        self.process_by_name[name].send_signal(number)
+
+    def kill(self, name: str) -> None:
+        process = self.process_by_name.pop(name)
+        process.send_signal(signal.SIGCONT)
+        process.kill()
+        process.wait()
+
+    def wait_ready(self) -> None:
+        """Wait until every entry says that it is ready."""
+        limit = time.monotonic() + READY_TIMEOUT_S
+        for name, entry in self.settings["entries"].items():
+            url = f"http://{entry['address']}/readyz"
+            while name in self.process_by_name:
+                with contextlib.suppress(OSError):
+                    urllib.request.urlopen(url, timeout=1).close()
+                    break
+                if time.monotonic() > limit:
+                    errors = (self.folder / f"{name}.err").read_text()
+                    raise TimeoutError(f"{name} is not ready: {errors}")
+                time.sleep(0.05)
+
+    def ctl(self, *words: str) -> str:
+        """Run one operator command and return what it prints."""
+        path = str(self.settings_path)
+        command = [*COMMAND, "ctl", "--settings", path, *words]
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=60
+        )
+        return done.stdout + done.stderr
+
+    def stop(self) -> None:
+        for process in self.process_by_name.values():
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+        for process in self.process_by_name.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+        self.process_by_name.clear()
+
+    def cpu_s(self, name: str) -> float:
+        """Return the processor time that a process has used, in seconds."""
+        pid = self.process_by_name[name].pid
+        fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def memory_mb(self, name: str) -> float:
+        """Return the resident memory of a process in megabytes."""
+        pid = self.process_by_name[name].pid
+        for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+            if line.startswith("VmRSS:"):
+                return int(line.split()[1]) / 1024
+        return 0.0
+
+
+def merge(base: dict[str, Any], changes: dict[str, Any]) -> dict[str, Any]:
+    """Return a deep copy of `base` with `changes` laid over it."""
+    merged = copy.deepcopy(base)
+    for key, value in changes.items():
+        if isinstance(value, dict) and isinstance(merged.get(key), dict):
+            merged[key] = merge(merged[key], value)
+        else:
+            merged[key] = copy.deepcopy(value)
+    return merged
+
+
+@contextlib.contextmanager
+def deployment(
+    example: str,
+    changes: dict[str, Any] | None = None,
+    *,
+    entries: int | None = None,
+    with_control: bool = True,
+) -> Iterator[Deployment]:
+    """Run a deployment made from an example file.
+
+    Args:
+        example: Name of a file in `examples/`, without its ending.
+        changes: Settings to lay over it.
+        entries: Entries to keep; None keeps all.
+        with_control: Whether control nodes run.
+    """
+    path = Path(__file__).parent.parent / "examples" / f"{example}.yaml"
+    settings = merge(yaml.safe_load(path.read_text()), changes or {})
+    if entries is not None:
+        kept = list(settings["entries"].items())[:entries]
+        settings["entries"] = dict(kept)
+    if not with_control:
+        settings["controls"] = {}
+    with tempfile.TemporaryDirectory(prefix="berylspool-") as folder:
+        running = Deployment(Path(folder), settings)
+        running.settings_path.write_text(yaml.safe_dump(settings))
+        try:
+            running.start("standin", "standin", "--record", "records.jsonl")
+            time.sleep(1.0)
+            for name in settings["controls"]:
+                running.start_control(name)
+            for name in settings["entries"]:
+                running.start_entry(name)
+            running.wait_ready()
+            yield running
+        finally:
+            running.stop()
--- /dev/null
+++ b/berylspool/connection/__init__.py
@@ -0,0 +1,3 @@
+"""What lives for a connection: to callers, to upstreams, between peers."""
+
+from berylspool.connection.frame import *
--- /dev/null
+++ b/berylspool/connection/caller.py
@@ -0,0 +1,301 @@
+"""HTTP for callers, as docs/CALLERS.md publishes it."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from berylspool.process.current import Current
+from berylspool.process.event import Event, RequestRefused
+from berylspool.process.metric import (
+    Metrics,
+    count,
+    exposition,
+    record_latency,
+)
+from berylspool.request.fingerprint import fingerprint
+from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
+
+__all__ = ["CallerServer", "EntryState", "encode_outcome", "status_of"]
+
+MAX_BODY_BYTES = 1024 * 1024
+BODY_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 120.0
+LONGEST_DEADLINE_MS = 60_000
+
+STATUS_BY_REASON = {
+    Reason.INVALID: 400,
+    Reason.UNKNOWN_ROUTE: 404,
+    Reason.KEY_REUSED: 409,
+    Reason.IN_PROGRESS: 409,
+    Reason.QUARANTINED: 422,
+    Reason.TIMEOUT: 504,
+    Reason.CANCELLED: 499,
+}
+
+
+class QueryBody(BaseModel):
+    """Body of a query."""
+
+    model_config = ConfigDict(extra="forbid")
+
+    route: str
+    query: Any
+    deadline_ms: int = Field(ge=1, le=LONGEST_DEADLINE_MS)
+    request_id: str = Field("", max_length=128)
+    min_coverage: float = Field(0.0, ge=0, le=1)
+
+
+class CommandBody(QueryBody):
+    """Body of a request that may not be repeated."""
+
+    key: str = Field(min_length=1, max_length=128)
+
+
+@dataclass(slots=True)
+class EntryState:
+    """What the handlers of one entry share.
+
+    Attributes:
+        name: Name of the entry.
+        nonce: Unique for each start of the process.
+        answer: Answers a query; returns when the caller may be told.
+        clock: Monotonic time in seconds.
+        log: Takes log events.
+        is_ready: Whether the balancer may send new connections.
+        metrics: Sums of the process.
+        in_flight: Requests that are not answered yet.
+    """
+
+    name: str
+    nonce: str
+    answer: Callable[[Query, asyncio.Event], Any]
+    clock: Callable[[], float]
+    log: Callable[[Event], None]
+    is_ready: Current[bool]
+    metrics: Metrics = field(default_factory=Metrics)
+    in_flight: int = 0
+    serial: int = 0
+
+    def next_id(self) -> str:
+        """Return an id that no other request of any entry has."""
+        self.serial += 1
+        return f"{self.name}.{self.nonce}.{self.serial}"
+
+
+def status_of(outcome: Outcome) -> int:
+    """Return the HTTP status of an outcome.
+
+    Examples:
+        >>> status_of(Refusal("r", Reason.OVERLOAD, True, 0.1))
+        503
+    """
+    match outcome:
+        case Answer():
+            return 200
+        case Refusal(reason=reason):
+            return STATUS_BY_REASON.get(reason, 503)
+
+
+def encode_outcome(outcome: Outcome, request_id: str) -> dict[str, Any]:
+    """Return the JSON body of an outcome."""
+    match outcome:
+        case Answer(snapshot=snapshot, coverage=coverage):
+            return {
+                "request_id": request_id,
+                "rows": outcome.rows,
+                "snapshot": {
+                    "index_version": snapshot.version,
+                    "partition_revision": snapshot.partition,
+                },
+                "coverage": {
+                    "shards_total": coverage.total,
+                    "shards_answered": coverage.answered,
+                    "missing": {
+                        str(shard): str(reason)
+                        for shard, reason in coverage.missing.items()
+                    },
+                },
+                "attempts": outcome.attempts,
+            }
+        case Refusal(reason=reason, not_run=not_run):
+            return {
+                "request_id": request_id,
+                "error": str(reason),
+                "outcome": "not_run" if not_run else "unknown",
+                "retry_after_s": outcome.retry_after_s,
+            }
+
+
+class EntryHandler(RequestHandler):
+    """Base of the handlers; holds the state of the entry."""
+
+    def initialize(self, state: EntryState) -> None:
+        """Keep the state of the entry."""
+        self.state = state
+        self.gone = asyncio.Event()
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone."""
+        self.gone.set()
+
+    def write_json(self, status: int, body: dict[str, Any]) -> None:
+        """Write a JSON response."""
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        if not self.state.is_ready.value:
+            self.set_header("Connection", "close")
+        self.finish(orjson.dumps(body))
+
+    def write_outcome(self, outcome: Outcome, request_id: str) -> None:
+        """Write an answer or a refusal."""
+        if isinstance(outcome, Refusal):
+            wait_s = max(1, round(outcome.retry_after_s))
+            self.set_header("Retry-After", str(wait_s))
+        body = encode_outcome(outcome, request_id)
+        self.write_json(status_of(outcome), body)
+
+
+class RequestHandlerFor(EntryHandler):
+    """Queries and commands.
+
+    The class attribute `model` is the schema of the body.
+    """
+
+    model: type[QueryBody] = QueryBody
+
+    async def post(self) -> None:
+        """Answer one request."""
+        started_at = self.state.clock()
+        try:
+            body = self.model.model_validate_json(self.request.body)
+        except ValidationError as error:
+            self._refuse_body(error)
+            return
+        query = self._query(body, started_at)
+        self.state.in_flight += 1
+        try:
+            outcome = await self.state.answer(query, self.gone)
+        finally:
+            self.state.in_flight -= 1
+        self._count(query, outcome, started_at)
+        if not self.gone.is_set():
+            self.write_outcome(outcome, body.request_id or query.id)
+
+    def _query(self, body: QueryBody, started_at: float) -> Query:
+        text = orjson.dumps(body.query, option=orjson.OPT_SORT_KEYS).decode()
+        return Query(
+            id=self.state.next_id(),
+            route=body.route,
+            body=text,
+            deadline=started_at + body.deadline_ms / 1000,
+            fingerprint=fingerprint(body.route, text),
+            key=body.key if isinstance(body, CommandBody) else None,
+            min_coverage=body.min_coverage,
+        )
+
+    def _refuse_body(self, error: ValidationError) -> None:
+        details = error.errors(
+            include_input=False, include_url=False, include_context=False
+        )
+        event = RequestRefused("", "", Reason.INVALID, not_run=True)
+        self.state.log(event)
+        body = {
+            "error": str(Reason.INVALID),
+            "outcome": "not_run",
+            "details": [
+                {"at": list(item["loc"]), "expected": item["msg"]}
+                for item in details
+            ],
+        }
+        self.write_json(400, body)
+
+    def _count(self, query: Query, outcome: Outcome, started_at: float) -> None:
+        metrics = self.state.metrics
+        match outcome:
+            case Answer(coverage=coverage):
+                kind = "whole" if coverage.is_whole else "partial"
+                latency_s = self.state.clock() - started_at
+                record_latency(metrics, query.route, latency_s)
+            case Refusal(reason=reason, not_run=not_run):
+                kind = str(reason)
+                event = RequestRefused(query.id, query.route, reason, not_run)
+                self.state.log(event)
+        name = "berylspool_requests_total"
+        count(metrics, name, route=query.route, outcome=kind)
+
+
+class CommandHandler(RequestHandlerFor):
+    """Requests that may not be repeated."""
+
+    model = CommandBody
+
+
+class HealthHandler(EntryHandler):
+    """Whether the process runs."""
+
+    def get(self) -> None:
+        """Answer that it does."""
+        self.write_json(200, {"status": "ok"})
+
+
+class ReadyHandler(EntryHandler):
+    """Whether the balancer may send new connections."""
+
+    def get(self) -> None:
+        """Answer 200 or 503."""
+        if self.state.is_ready.value:
+            self.write_json(200, {"status": "ready"})
+        else:
+            self.write_json(503, {"status": "not_ready"})
+
+
+class MetricsHandler(EntryHandler):
+    """Metrics in the Prometheus text format."""
+
+    def get(self) -> None:
+        """Export the sums."""
+        body, content_type = exposition(self.state.metrics)
+        self.set_header("Content-Type", content_type)
+        self.finish(body)
+
+
+ROUTES: list[tuple[str, type[EntryHandler]]] = [
+    (r"/v1/query", RequestHandlerFor),
+    (r"/v1/command", CommandHandler),
+    (r"/healthz", HealthHandler),
+    (r"/readyz", ReadyHandler),
+    (r"/metrics", MetricsHandler),
+]
+
+
+class CallerServer:
+    """Listens for callers.
+
+    Args:
+        state: State that the handlers share.
+    """
+
+    def __init__(self, state: EntryState) -> None:
+        routes = [(path, cls, {"state": state}) for path, cls in ROUTES]
+        application = Application(routes, log_function=lambda handler: None)
+        self._server = HTTPServer(
+            application,
+            max_body_size=MAX_BODY_BYTES,
+            body_timeout=BODY_TIMEOUT_S,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+        )
+
+    def listen(self, host: str, port: int) -> None:
+        """Start to accept callers."""
+        self._server.listen(port, host)
+
+    async def close(self) -> None:
+        """Stop accepting; requests in flight go on."""
+        self._server.stop()
+        await self._server.close_all_connections()
--- /dev/null
+++ b/berylspool/connection/peer.py
@@ -0,0 +1,221 @@
+"""Links between the system's own processes: one task for each stream."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+from tornado.tcpserver import TCPServer
+
+from berylspool.connection.frame import HEADER_BYTES, Codec, frame_length
+from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.message import (
+    PROTOCOL_VERSION,
+    Hello,
+    Ping,
+    Pong,
+)
+from berylspool.exception import FrameError, ProtocolError
+
+__all__ = ["Link", "LinkServer", "Session"]
+
+CONNECT_TIMEOUT_S = 1.0
+FIRST_RECONNECT_S = 0.05
+LONGEST_RECONNECT_S = 1.0
+PING_INTERVAL_S = 0.5
+SILENT_S = 1.5
+MESSAGES_PER_FRAME = 256
+
+Sink = Callable[[Any], None]
+
+
+async def _write_all(stream: IOStream, inbox: Mailbox[Any], codec: Codec):
+    """Write what the inbox holds, many messages in one frame."""
+    while True:
+        messages = await inbox.take(PING_INTERVAL_S) or [Ping()]
+        for start in range(0, len(messages), MESSAGES_PER_FRAME):
+            batch = messages[start : start + MESSAGES_PER_FRAME]
+            await stream.write(codec.encode(batch))
+
+
+async def _read_all(
+    stream: IOStream, codec: Codec, inbox: Mailbox[Any], sink: Sink
+) -> None:
+    """Hand every message over until the stream ends or goes silent."""
+    while True:
+        async with asyncio.timeout(SILENT_S):
+            header = await stream.read_bytes(HEADER_BYTES)
+            body = await stream.read_bytes(frame_length(header))
+        for message in codec.decode(body):
+            match message:
+                case Ping():
+                    inbox.put(Pong())
+                case Pong():
+                    pass
+                case _:
+                    sink(message)
+
+
+async def _serve(
+    stream: IOStream, codec: Codec, inbox: Mailbox[Any], sink: Sink
+) -> None:
+    """Write and read at once until either ends."""
+    writer = asyncio.ensure_future(_write_all(stream, inbox, codec))
+    try:
+        await _read_all(stream, codec, inbox, sink)
+    finally:
+        writer.cancel()
+        stream.close()
+
+
+class Link:
+    """Task that owns the stream to one peer and opens it again when lost.
+
+    Whoever sends must treat `down` as the loss of all that was sent before:
+    what still waits in the inbox then is dropped, so nothing goes out late.
+
+    Args:
+        name: Name of this process.
+        host: IP address of the peer.
+        port: TCP port of the peer.
+        codec: Codec of the link.
+        sink: Takes each message that arrives.
+        up: Called when the link opens.
+        down: Called when the link is lost.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        codec: Codec,
+        *,
+        sink: Sink,
+        up: Callable[[], None],
+        down: Callable[[], None],
+    ) -> None:
+        self.inbox: Mailbox[Any] = Mailbox()
+        self._name = name
+        self._host = host
+        self._port = port
+        self._codec = codec
+        self._sink = sink
+        self._up = up
+        self._down = down
+
+    async def run(self) -> None:
+        """Keep the link open until the task is cancelled."""
+        pause_s = FIRST_RECONNECT_S
+        while True:
+            stream: IOStream | None = None
+            try:
+                stream = await TCPClient().connect(
+                    self._host, self._port, timeout=CONNECT_TIMEOUT_S
+                )
+                stream.set_nodelay(True)
+                await stream.write(self._codec.encode([Hello(self._name)]))
+                self._up()
+                pause_s = FIRST_RECONNECT_S
+                await _serve(stream, self._codec, self.inbox, self._sink)
+            except (OSError, TimeoutError, StreamClosedError, FrameError):
+                pass
+            finally:
+                if stream is not None:
+                    stream.close()
+            self.inbox.clear()
+            self._down()
+            await asyncio.sleep(pause_s)
+            pause_s = min(pause_s * 2, LONGEST_RECONNECT_S)
+
+
+class Session:
+    """Task that owns a stream that a peer opened.
+
+    Args:
+        id: Unique for the process.
+        stream: The accepted stream.
+        codec: Codec of the link.
+    """
+
+    def __init__(self, id: str, stream: IOStream, codec: Codec) -> None:
+        self.id = id
+        self.inbox: Mailbox[Any] = Mailbox()
+        self.peer = ""
+        self._stream = stream
+        self._codec = codec
+
+    async def run(self, sink: Callable[["Session", Any], None]) -> None:
+        """Serve the stream until it ends.
+
+        Args:
+            sink: Takes the session and each message that arrives.
+
+        Raises:
+            ProtocolError: The peer speaks another protocol.
+        """
+        try:
+            async with asyncio.timeout(SILENT_S):
+                hello = await self._read_hello()
+            self.peer = hello.name
+            await _serve(
+                self._stream,
+                self._codec,
+                self.inbox,
+                lambda message: sink(self, message),
+            )
+        except (OSError, TimeoutError, StreamClosedError):
+            pass
+        finally:
+            self._stream.close()
+
+    async def _read_hello(self) -> Hello:
+        header = await self._stream.read_bytes(HEADER_BYTES)
+        body = await self._stream.read_bytes(frame_length(header))
+        messages = self._codec.decode(body)
+        match messages:
+            case [Hello(protocol=protocol) as hello] if (
+                protocol <= PROTOCOL_VERSION
+            ):
+                return hello
+        raise ProtocolError("first message is not a known hello")
+
+
+class LinkServer(TCPServer):
+    """Accepts links and runs a session for each.
+
+    Args:
+        codec: Codec of the links.
+        sink: Takes the session and each message.
+        closed: Takes each session that ended, with the error, if any.
+    """
+
+    def __init__(
+        self,
+        codec: Codec,
+        *,
+        sink: Callable[[Session, Any], None],
+        closed: Callable[[Session, ProtocolError | None], None],
+    ) -> None:
+        super().__init__()
+        self._codec = codec
+        self._sink = sink
+        self._closed = closed
+        self._serial = 0
+        self.session_by_id: dict[str, Session] = {}
+
+    async def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """Run the session of one accepted stream."""
+        stream.set_nodelay(True)
+        self._serial += 1
+        session = Session(str(self._serial), stream, self._codec)
+        self.session_by_id[session.id] = session
+        error: ProtocolError | None = None
+        try:
+            await session.run(self._sink)
+        except ProtocolError as caught:
+            error = caught
+        finally:
+            del self.session_by_id[session.id]
+            self._closed(session, error)
--- /dev/null
+++ b/berylspool/connection/tests/test_frame.py
@@ -0,0 +1,89 @@
+"""Property tests of the codec between processes."""
+
+import contextlib
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylspool.connection.frame import HEADER_BYTES, frame_length
+from berylspool.connection.message import (
+    AskPart,
+    DropPart,
+    Hello,
+    peer_codec,
+)
+from berylspool.exception import FrameError, FrameTooLargeError
+from berylspool.request.query import (
+    Part,
+    PartFailed,
+    PartRefused,
+    PartRows,
+    Reason,
+    Snapshot,
+)
+
+TEXT = st.text(max_size=20)
+SNAPSHOT = st.builds(Snapshot, TEXT, st.integers(0, 2**40))
+PART = st.builds(
+    Part,
+    TEXT,
+    TEXT,
+    TEXT,
+    st.integers(0, 1000),
+    SNAPSHOT,
+    TEXT,
+    st.floats(0, 100),
+    TEXT,
+    st.booleans(),
+    TEXT,
+)
+MESSAGE = st.one_of(
+    st.builds(AskPart, PART),
+    st.builds(DropPart, TEXT),
+    st.builds(Hello, TEXT),
+    st.builds(PartRefused, TEXT, st.sampled_from(Reason), st.floats(0, 9)),
+    st.builds(PartFailed, TEXT, st.sampled_from(Reason), st.integers(0, 9)),
+    st.builds(
+        PartRows,
+        TEXT,
+        SNAPSHOT,
+        st.lists(st.integers(0, 9)).map(tuple),
+        st.integers(0, 9),
+    ),
+)
+CODEC = peer_codec()
+
+
+@given(st.lists(MESSAGE, max_size=5))
+def test_decode_gives_back_what_was_encoded(messages):
+    frame = CODEC.encode(messages)
+    assert frame_length(frame[:HEADER_BYTES]) == len(frame) - HEADER_BYTES
+    assert CODEC.decode(frame[HEADER_BYTES:]) == messages
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_decode_or_raise_a_typed_error(body):
+    with contextlib.suppress(FrameError):
+        CODEC.decode(body)
+
+
+@pytest.mark.parametrize(
+    "items",
+    [
+        [["Unknown", {}]],
+        [["DropPart", {}]],
+        [["DropPart", {"part_id": 7}]],
+        [["DropPart"]],
+        7,
+    ],
+)
+def test_wrong_messages_raise(items):
+    with pytest.raises(FrameError):
+        CODEC.decode(msgpack.packb(items))
+
+
+def test_oversized_frame_is_refused_by_its_header():
+    with pytest.raises(FrameTooLargeError):
+        frame_length(b"\xff\xff\xff\xff")
--- /dev/null
+++ b/berylspool/connection/upstream.py
@@ -0,0 +1,212 @@
+"""Tasks that own one connection to an upstream each."""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+import orjson
+
+from berylspool.connection import wire
+from berylspool.connection.http import HttpReply, HttpStream, connect
+from berylspool.connection.mailbox import Mailbox
+from berylspool.exception import ConnectionLostError, ProtocolError
+from berylspool.version.configuration import Upstream
+from berylspool.version.pool_message import (
+    AttemptAnswered,
+    ConnectionClosed,
+    ConnectionOpened,
+    HealthReported,
+    PoolEvent,
+    Send,
+)
+
+__all__ = ["UpstreamConnection", "UpstreamWatch"]
+
+CONNECT_TIMEOUT_S = 1.0
+HELLO_TIMEOUT_S = 1.0
+WATCH_INTERVAL_S = 0.5
+WATCH_TIMEOUT_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shut:
+    """Close the connection and end the task."""
+
+
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """Tell the upstream that an attempt is no longer wanted."""
+
+    attempt_name: str
+
+
+class UpstreamConnection:
+    """Task that owns one kept-alive connection and one copy at a time.
+
+    The upstream names its instance before the connection carries a part, so
+    a restart is known before the first copy reaches the new instance.
+
+    Args:
+        connection_id: Number of the connection in its pool.
+        upstream: Upstream to connect to.
+        pool: Mailbox of the pool.
+    """
+
+    def __init__(
+        self, connection_id: int, upstream: Upstream, pool: Mailbox[PoolEvent]
+    ) -> None:
+        self.inbox: Mailbox[Send | Shut] = Mailbox()
+        self._id = connection_id
+        self._upstream = upstream
+        self._pool = pool
+
+    async def run(self) -> None:
+        """Open the connection and serve the inbox until it closes."""
+        stream: HttpStream | None = None
+        try:
+            stream = await connect(
+                self._upstream.host, self._upstream.port, CONNECT_TIMEOUT_S
+            )
+            stream.on_close(lambda: self.inbox.put(Shut()))
+            await self._hello(stream)
+            await self._serve(stream)
+        except (ConnectionLostError, ProtocolError, TimeoutError):
+            pass
+        finally:
+            if stream is not None:
+                stream.close()
+            self._pool.put(ConnectionClosed(self._id, self._upstream.id))
+
+    async def _hello(self, stream: HttpStream) -> None:
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            reply = await stream.send(
+                "GET", wire.HEALTH_PATH, {"Host": self._upstream.id}, b""
+            )
+        instance = _instance(reply)
+        self._pool.put(ConnectionOpened(self._id, self._upstream.id, instance))
+
+    async def _serve(self, stream: HttpStream) -> None:
+        while True:
+            for message in await self.inbox.take():
+                match message:
+                    case Shut():
+                        return
+                    case Send():
+                        await self._send(stream, message)
+
+    async def _send(self, stream: HttpStream, message: Send) -> None:
+        headers, body = wire.encode_part(
+            message.part, message.attempt_id, message.timeout_s
+        )
+        sending = asyncio.ensure_future(
+            stream.send("POST", wire.PART_PATH, headers, body)
+        )
+        self.inbox.watch(lambda: self._abort_if_shut(stream))
+        try:
+            reply = await sending
+        finally:
+            self.inbox.watch(None)
+        decoded = wire.decode_reply(
+            message.part,
+            message.attempt_id,
+            reply.status,
+            reply.headers,
+            reply.body,
+        )
+        self._pool.put(
+            AttemptAnswered(
+                self._id,
+                message.attempt_id,
+                _instance(reply),
+                _load(reply.headers),
+                decoded,
+            )
+        )
+
+    def _abort_if_shut(self, stream: HttpStream) -> None:
+        if any(isinstance(message, Shut) for message in self.inbox):
+            stream.close()
+
+
+class UpstreamWatch:
+    """Task that owns the connection for health and cancellation.
+
+    Args:
+        upstream: Upstream to watch.
+        pool: Mailbox of the pool.
+    """
+
+    def __init__(self, upstream: Upstream, pool: Mailbox[PoolEvent]) -> None:
+        self.inbox: Mailbox[Cancel | Shut] = Mailbox()
+        self._upstream = upstream
+        self._pool = pool
+
+    async def run(self) -> None:
+        """Connect again and again until told to shut."""
+        while True:
+            stream: HttpStream | None = None
+            try:
+                stream = await connect(
+                    self._upstream.host, self._upstream.port, CONNECT_TIMEOUT_S
+                )
+                await self._serve(stream)
+                return
+            except (ConnectionLostError, ProtocolError, TimeoutError):
+                pass
+            finally:
+                if stream is not None:
+                    stream.close()
+            for message in await self.inbox.take(WATCH_INTERVAL_S):
+                if isinstance(message, Shut):
+                    return
+
+    async def _serve(self, stream: HttpStream) -> None:
+        while True:
+            async with asyncio.timeout(WATCH_TIMEOUT_S):
+                await self._poll(stream)
+            for message in await self.inbox.take(WATCH_INTERVAL_S):
+                match message:
+                    case Shut():
+                        return
+                    case Cancel(attempt_name=name):
+                        async with asyncio.timeout(WATCH_TIMEOUT_S):
+                            await self._cancel(stream, name)
+
+    async def _poll(self, stream: HttpStream) -> None:
+        reply = await stream.send(
+            "GET", wire.HEALTH_PATH, {"Host": self._upstream.id}, b""
+        )
+        try:
+            state = orjson.loads(reply.body)["state"]
+        except (ValueError, KeyError, TypeError) as error:
+            raise ProtocolError("health is not as published") from error
+        self._pool.put(
+            HealthReported(
+                self._upstream.id,
+                _instance(reply),
+                state == "draining",
+                _load(reply.headers),
+            )
+        )
+
+    async def _cancel(self, stream: HttpStream, name: str) -> None:
+        headers = {
+            "Host": self._upstream.id,
+            wire.ATTEMPT_ID: name,
+            "Content-Length": "0",
+        }
+        await stream.send("POST", wire.CANCEL_PATH, headers, b"")
+
+
+def _instance(reply: HttpReply) -> str:
+    instance = reply.headers.get(wire.INSTANCE_ID)
+    if not instance:
+        raise ProtocolError("no instance id")
+    return instance
+
+
+def _load(headers: Mapping[str, str]) -> float:
+    try:
+        return float(headers.get(wire.LOAD, "0"))
+    except ValueError:
+        return 0.0
--- /dev/null
+++ b/berylspool/connection/wire.py
@@ -0,0 +1,128 @@
+"""Encoding of parts and replies on HTTP, as docs/UPSTREAM.md publishes it."""
+
+from collections.abc import Mapping
+
+import orjson
+
+from berylspool.exception import ProtocolError
+from berylspool.request.query import Part, Reason, Snapshot
+from berylspool.version.pool_message import (
+    ErrorReply,
+    NotRunReply,
+    RowsReply,
+    UpstreamReply,
+)
+
+__all__ = [
+    "decode_reply",
+    "encode_part",
+]
+
+PART_PATH = "/v1/part"
+CANCEL_PATH = "/v1/cancel"
+HEALTH_PATH = "/v1/health"
+
+REQUEST_ID = "Request-Id"
+ATTEMPT_ID = "Attempt-Id"
+INDEX_VERSION = "Index-Version"
+PARTITION_REVISION = "Partition-Revision"
+SHARD = "Shard"
+TIMEOUT_MS = "Timeout-Ms"
+IDEMPOTENT = "Idempotent"
+INSTANCE_ID = "Instance-Id"
+LOAD = "Load"
+NOT_RUN = "Not-Run"
+REASON = "Reason"
+ROW_COUNT = "Row-Count"
+
+REFUSAL_BY_REASON = {
+    "shed": Reason.OVERLOAD,
+    "cold": Reason.COLD,
+    "draining": Reason.SHUTTING_DOWN,
+    "wrong-version": Reason.WRONG_SNAPSHOT,
+    "deadline": Reason.TIMEOUT,
+    "cancelled": Reason.CANCELLED,
+}
+
+
+def attempt_name(part_id: str, attempt_id: int) -> str:
+    """Return the attempt id as it travels, unique for part and copy."""
+    return f"{part_id}#{attempt_id}"
+
+
+def encode_part(
+    part: Part, attempt_id: int, timeout_s: float
+) -> tuple[dict[str, str], bytes]:
+    """Encode one copy of a part.
+
+    Args:
+        part: The part.
+        attempt_id: Number of the copy.
+        timeout_s: Time left for it, in seconds.
+
+    Returns:
+        Headers and body of the HTTP request.
+    """
+    body = part.body.encode()
+    headers = {
+        "Host": part.service,
+        "Content-Type": "application/json",
+        "Content-Length": str(len(body)),
+        REQUEST_ID: part.request_id,
+        ATTEMPT_ID: attempt_name(part.id, attempt_id),
+        INDEX_VERSION: part.snapshot.version,
+        PARTITION_REVISION: str(part.snapshot.partition),
+        SHARD: str(part.shard),
+        TIMEOUT_MS: str(max(1, int(timeout_s * 1000))),
+        IDEMPOTENT: "true" if part.idempotent else "false",
+    }
+    return headers, body
+
+
+def decode_reply(
+    part: Part,
+    attempt_id: int,
+    status: int,
+    headers: Mapping[str, str],
+    body: bytes,
+) -> UpstreamReply:
+    """Decode an upstream's reply and check that it belongs to the copy.
+
+    Args:
+        part: The part that was sent.
+        attempt_id: Number of the copy that was sent.
+        status: HTTP status.
+        headers: Response headers.
+        body: Response body.
+
+    Returns:
+        Rows, a refusal that nothing ran, or an error.
+
+    Raises:
+        ProtocolError: The reply names another attempt; the connection must
+            not be used again.
+    """
+    if headers.get(ATTEMPT_ID) != attempt_name(part.id, attempt_id):
+        raise ProtocolError("reply to another attempt")
+    if status == 200:
+        return _decode_rows(headers, body)
+    if headers.get(NOT_RUN) == "true":
+        reason = REFUSAL_BY_REASON.get(headers.get(REASON, ""))
+        return NotRunReply(reason or Reason.OVERLOAD)
+    if status in (499, 504):
+        return ErrorReply(Reason.TIMEOUT)
+    return ErrorReply(Reason.UPSTREAM_ERROR)
+
+
+def _decode_rows(headers: Mapping[str, str], body: bytes) -> UpstreamReply:
+    try:
+        rows = tuple(orjson.loads(body)["rows"])
+        count = int(headers[ROW_COUNT])
+        snapshot = Snapshot(
+            headers[INDEX_VERSION], int(headers[PARTITION_REVISION])
+        )
+    except (ValueError, KeyError, TypeError):
+        return ErrorReply(Reason.TRUNCATED)
+    if count != len(rows):
+        return ErrorReply(Reason.TRUNCATED)
+    return RowsReply(snapshot, rows)
--- /dev/null
+++ b/berylspool/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for a process: its tasks, its settings and their state."""
--- /dev/null
+++ b/berylspool/process/cli.py
@@ -0,0 +1,181 @@
+"""The command line: one binary, all roles."""
+
+import asyncio
+import sys
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Annotated, Any
+
+import orjson
+import uvloop
+from cyclopts import App, Parameter
+from rich.console import Console
+from rich.progress import Progress
+from rich.table import Table
+
+from berylspool.exception import BerylspoolError
+from berylspool.process.entry import VERSION, Entry
+from berylspool.process.load import LoadPlan, run_load, summary
+from berylspool.process.log import open_log
+from berylspool.process.settings import (
+    Settings,
+    load_settings,
+    split_address,
+)
+from berylspool.process.standin import recorder, serve, standins_of
+from berylspool.version.schema import to_configuration
+
+__all__ = ["app", "main"]
+
+EXIT_FAILURE = 1
+EXIT_SETTINGS = 2
+
+app = App(
+    name="berylspool",
+    help="A query tier over very many shards.",
+    version=VERSION,
+)
+
+SettingsFile = Annotated[
+    Path, Parameter(name=["--settings", "-s"], help="Settings file (YAML).")
+]
+
+
+def run_loop(settings: Settings, main: Coroutine[Any, Any, Any]) -> Any:
+    """Run a coroutine on the event loop that the settings name."""
+    factory = uvloop.new_event_loop
+    if settings.event_loop == "asyncio":
+        return asyncio.run(main)
+    with asyncio.Runner(loop_factory=factory) as runner:
+        return runner.run(main)
+
+
+@app.command
+def entry(*, settings: SettingsFile, name: str) -> None:
+    """Answer callers as one entry.
+
+    Args:
+        settings: Settings file of the deployment.
+        name: Name of this entry in the settings.
+    """
+    loaded = load_settings(settings)
+    open_log(loaded.log.path)
+    run_loop(loaded, _run_entry(name, loaded))
+
+
+async def _run_entry(name: str, settings: Settings) -> None:
+    await Entry(name, settings).run()
+
+
+@app.command
+def standin(*, settings: SettingsFile, record: str = "") -> None:
+    """Run a stand-in for each upstream of the initial configuration.
+
+    Args:
+        settings: Settings file of the deployment.
+        record: File that gets a record of each part; overrides the settings.
+    """
+    loaded = load_settings(settings)
+    write = recorder(record or loaded.standin.record)
+    standins = standins_of(
+        to_configuration(loaded.initial),
+        loaded.standin,
+        time.monotonic,
+        write,
+    )
+    run_loop(loaded, serve(standins))
+
+
+@app.command
+def check(settings: Path) -> None:
+    """Check a settings file.
+
+    Args:
+        settings: Settings file of a deployment.
+    """
+    loaded = load_settings(settings)
+    configuration = to_configuration(loaded.initial)
+    print(
+        f"{settings}: {len(loaded.entries)} entries, "
+        f"{len(loaded.controls)} control nodes, "
+        f"{len(configuration.service_by_name)} services, "
+        f"{len(configuration.route_by_name)} routes"
+    )
+
+
+@app.command
+def load(
+    *,
+    settings: SettingsFile,
+    route: str,
+    rate: float = 50.0,
+    duration_s: float = 10.0,
+    deadline_ms: int = 1000,
+    seed: int = 1,
+    min_coverage: float = 1.0,
+    command: bool = False,
+    json: bool = False,
+) -> None:
+    """Send an open-loop load to all entries and print a table.
+
+    Args:
+        settings: Settings file of the deployment.
+        route: Route of the requests.
+        rate: Requests a second.
+        duration_s: Length of the run in seconds.
+        deadline_ms: Deadline of each request in milliseconds.
+        seed: Seed of arrivals, entries and bodies.
+        min_coverage: Least coverage asked for, from 0 to 1.
+        command: Send requests that may not be repeated.
+        json: Print JSON in place of the table.
+    """
+    loaded = load_settings(settings)
+    targets = tuple(
+        split_address(item.address) for item in loaded.entries.values()
+    )
+    plan = LoadPlan(
+        targets,
+        route,
+        rate,
+        duration_s,
+        deadline_ms,
+        seed,
+        min_coverage,
+        command,
+    )
+    with Progress(console=Console(stderr=True)) as progress:
+        task = progress.add_task("requests", total=int(rate * duration_s))
+        result = run_loop(
+            loaded,
+            run_load(plan, lambda sent: progress.update(task, completed=sent)),
+        )
+    figures = summary(plan, result)
+    if json:
+        sys.stdout.write(orjson.dumps(figures).decode() + "\n")
+    else:
+        _print_figures(figures)
+
+
+def _print_figures(figures: dict[str, Any]) -> None:
+    table = Table("figure", "value")
+    for name, value in figures.items():
+        if isinstance(value, dict):
+            for key, item in value.items():
+                table.add_row(f"{name} {key}", str(item))
+        else:
+            table.add_row(name, str(value))
+    Console().print(table)
+
+
+def main() -> None:
+    """Run the command line; failures end with a readable message."""
+    try:
+        app()
+    except BerylspoolError as error:
+        sys.stderr.write(f"{type(error).__name__}: {error}\n")
+        sys.exit(EXIT_SETTINGS)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/berylspool/process/entry.py
@@ -0,0 +1,196 @@
+"""The entry role: it answers callers and owns its share of the services."""
+
+import asyncio
+import contextlib
+import signal
+import time
+import uuid
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from berylspool.connection.caller import CallerServer, EntryState
+from berylspool.connection.message import Member, MemberTable
+from berylspool.exception import SettingsError, UnknownRouteError
+from berylspool.process.current import Current
+from berylspool.process.event import ProcessStarted, ProcessStopped
+from berylspool.process.log import LogTask
+from berylspool.process.router import Router
+from berylspool.process.routing import (
+    ConfigurationChanged,
+    LeaseSet,
+    Routing,
+    Sharing,
+    ShuttingDown,
+    TableChanged,
+)
+from berylspool.process.settings import (
+    RoutingSettings,
+    Settings,
+    split_address,
+)
+from berylspool.request.fingerprint import ticket
+from berylspool.request.query import Outcome, Query, Reason, Refusal
+from berylspool.request.serve import RequestTask
+from berylspool.version.configuration import Configuration, pin
+from berylspool.version.pool_state import Tuning
+from berylspool.version.schema import to_configuration
+from berylspool.version.upstream_view import (
+    Choice,
+    FewestInFlight,
+    Random,
+    ZoneAware,
+)
+
+__all__ = ["Entry", "tuning_of"]
+
+VERSION = "0.1.0"
+DRAIN_CHECK_S = 0.02
+
+
+def tuning_of(settings: RoutingSettings, zone: str) -> Tuning:
+    """Return the pools' tuning that the settings state."""
+    choice_by_name: dict[str, Choice] = {
+        "zone_aware": ZoneAware(zone, settings.crossing_ms / 1000),
+        "fewest_in_flight": FewestInFlight(),
+        "random": Random(),
+    }
+    return Tuning(
+        choice=choice_by_name[settings.choice],
+        hedges=settings.hedges,
+        hedge_percentile=settings.hedge_percentile,
+        extra_ratio=settings.extra_ratio,
+        queue_limit=settings.queue_limit,
+        silent_s=settings.silent_s,
+        wait_share=settings.wait_share,
+    )
+
+
+class Entry:
+    """One entry process.
+
+    Args:
+        name: Name of the entry in the settings.
+        settings: Settings of the deployment.
+        clock: Monotonic time in seconds.
+
+    Raises:
+        SettingsError: The settings hold no entry of that name.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: Settings,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        if name not in settings.entries:
+            raise SettingsError(f"entries.{name}: not in the settings")
+        self.name = name
+        self.settings = settings
+        self.own = settings.entries[name]
+        self.log = LogTask(settings.log.decisions)
+        self.configuration = Current(Configuration())
+        self.is_ready = Current(False)
+        self._clock = clock
+        self._tasks: list[asyncio.Task[None]] = []
+        self.router = Router(
+            Routing(name, Sharing(settings.routing.sharing)),
+            tuning_of(settings.routing, self.own.zone),
+            log=self.log.put,
+            clock=clock,
+        )
+        self.state = EntryState(
+            name,
+            uuid.uuid4().hex[:8],
+            self.answer,
+            clock,
+            self.log.put,
+            self.is_ready,
+        )
+        self.callers = CallerServer(self.state)
+
+    async def answer(self, query: Query, gone: asyncio.Event) -> Outcome:
+        """Answer one query.
+
+        Args:
+            query: The validated query.
+            gone: Set when the caller closes its connection.
+
+        Returns:
+            An answer or a refusal.
+        """
+        number = ticket(query.id)
+        try:
+            pinned = pin(self.configuration.value, query.route, number)
+        except UnknownRouteError:
+            return Refusal(query.id, Reason.UNKNOWN_ROUTE, True, 0.0)
+        request = RequestTask(query, self.router, self._clock)
+        watcher = asyncio.ensure_future(_watch(gone, request))
+        try:
+            return await request.run(pinned)
+        finally:
+            watcher.cancel()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        """Run a task until the entry closes."""
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    async def start(self) -> None:
+        """Open the listeners and start the tasks."""
+        self.spawn(self.log.run())
+        self.spawn(self.router.run())
+        host, port = split_address(self.own.peer_address)
+        self.router.server.listen(port, host)
+        self._start_alone()
+        host, port = split_address(self.own.address)
+        self.callers.listen(host, port)
+        self.log.put(ProcessStarted("entry", self.name, VERSION))
+
+    def _start_alone(self) -> None:
+        """Take the settings as the configuration, without control."""
+        configuration = to_configuration(self.settings.initial)
+        self.apply(configuration)
+        member_by_name = {
+            name: Member(name, *split_address(entry.peer_address))
+            for name, entry in self.settings.entries.items()
+        }
+        table = MemberTable(1, True, member_by_name)
+        self.router.inbox.put(LeaseSet(True))
+        self.router.inbox.put(TableChanged(table))
+        self.is_ready.publish(True)
+
+    def apply(self, configuration: Configuration) -> None:
+        """Put a configuration in force at this entry."""
+        self.configuration.publish(configuration)
+        self.router.inbox.put(ConfigurationChanged(configuration))
+
+    async def stop(self) -> None:
+        """Finish what is in flight, then close."""
+        self.is_ready.publish(False)
+        await asyncio.sleep(self.own.notice_s)
+        self.router.inbox.put(ShuttingDown())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self.own.drain_s):
+                while self.state.in_flight:
+                    await asyncio.sleep(DRAIN_CHECK_S)
+                await self.callers.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.log.put(ProcessStopped("entry", self.name))
+        self.log.close()
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT."""
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        await self.start()
+        await stopping.wait()
+        await self.stop()
+
+
+async def _watch(gone: asyncio.Event, request: RequestTask) -> None:
+    await gone.wait()
+    request.caller_gone()
--- /dev/null
+++ b/berylspool/process/event.py
@@ -0,0 +1,207 @@
+"""Log events, each with a number; docs/LOGS.md is the catalogue."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+__all__ = [
+    "CommandDecided",
+    "ConfigurationApplied",
+    "Event",
+    "LeaderChanged",
+    "LeaseChanged",
+    "LinesDropped",
+    "LinkChanged",
+    "MembersChanged",
+    "MoveChanged",
+    "PartChosen",
+    "ProcessStarted",
+    "ProcessStopped",
+    "RequestRefused",
+    "RequestBlamed",
+    "ServicePlaced",
+    "SilentReplaced",
+    "StorageFailed",
+    "UpstreamChanged",
+    "catalogue",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Base of all log events."""
+
+    number: ClassVar[int] = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStarted(Event):
+    """The process listens."""
+
+    number: ClassVar[int] = 1001
+    role: str
+    name: str
+    version: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessStopped(Event):
+    """The process has finished what was in flight and ends."""
+
+    number: ClassVar[int] = 1002
+    role: str
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class LinesDropped(Event):
+    """The log could not keep up; so many lines are missing here."""
+
+    number: ClassVar[int] = 1003
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class PartChosen(Event):
+    """An upstream was chosen for a copy of a part."""
+
+    number: ClassVar[int] = 2001
+    part: str
+    service: str
+    version: str
+    upstream: str
+    copy: int
+    is_hedge: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RequestRefused(Event):
+    """A caller's request has no answer."""
+
+    number: ClassVar[int] = 2002
+    request: str
+    route: str
+    reason: str
+    not_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SilentReplaced(Event):
+    """A connection owed an answer for too long and is replaced."""
+
+    number: ClassVar[int] = 2003
+    upstream: str
+    connection: int
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestBlamed(Event):
+    """A verdict is held against a request after a lost upstream."""
+
+    number: ClassVar[int] = 2004
+    fingerprint: str
+    upstream: str
+    verdict: str
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamChanged(Event):
+    """An upstream's connections or state changed."""
+
+    number: ClassVar[int] = 2005
+    upstream: str
+    change: str
+
+
+@dataclass(frozen=True, slots=True)
+class CommandDecided(Event):
+    """The ledger decided on a request that may not be repeated."""
+
+    number: ClassVar[int] = 2006
+    key: str
+    decision: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServicePlaced(Event):
+    """A service was placed on this process, or taken off it."""
+
+    number: ClassVar[int] = 3001
+    service: str
+    owner: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class MembersChanged(Event):
+    """The table of members changed."""
+
+    number: ClassVar[int] = 3002
+    epoch: int
+    members: str
+    is_active: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LinkChanged(Event):
+    """A link between two processes opened, closed or was refused."""
+
+    number: ClassVar[int] = 3003
+    peer: str
+    change: str
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseChanged(Event):
+    """The lease on the configuration was gained or has expired."""
+
+    number: ClassVar[int] = 3004
+    is_held: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationApplied(Event):
+    """A configuration is in force at this process."""
+
+    number: ClassVar[int] = 4001
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaderChanged(Event):
+    """A control node changed its role."""
+
+    number: ClassVar[int] = 4002
+    node: str
+    role: str
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class MoveChanged(Event):
+    """A move of a route entered another stage."""
+
+    number: ClassVar[int] = 4003
+    route: str
+    state: str
+    share: float
+    cause: str
+
+
+@dataclass(frozen=True, slots=True)
+class StorageFailed(Event):
+    """The data folder could not be read or written."""
+
+    number: ClassVar[int] = 4004
+    error: str
+
+
+def catalogue() -> dict[int, type[Event]]:
+    """Return all events by number.
+
+    Examples:
+        >>> catalogue()[1001].__name__
+        'ProcessStarted'
+    """
+    return {cls.number: cls for cls in Event.__subclasses__()}
--- /dev/null
+++ b/berylspool/process/load.py
@@ -0,0 +1,251 @@
+"""Open-loop load: arrivals at a stated rate, whatever the answers do.
+
+Latency counts from the moment a request was due, not from when it was sent,
+so a slow system cannot slow its own measurement down (Tene, "How not to
+measure latency", on coordinated omission).
+"""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import orjson
+from hdrh.histogram import HdrHistogram
+
+from berylspool.connection.http import HttpReply, HttpStream, connect
+from berylspool.exception import ConnectionLostError, ProtocolError
+
+__all__ = ["LoadPlan", "LoadResult", "run_load", "summary"]
+
+LONGEST_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+CONNECT_TIMEOUT_S = 2.0
+GRACE_S = 2.0
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPlan:
+    """What to send.
+
+    Attributes:
+        targets: Entries as (host, port).
+        route: Route of the requests.
+        rate: Requests a second.
+        duration_s: Length of the run in seconds.
+        deadline_ms: Deadline of each request.
+        seed: Seed of arrivals, entries and bodies.
+        min_coverage: Least coverage that is asked for.
+        is_command: Whether requests may not be repeated.
+        keys: Distinct bodies.
+    """
+
+    targets: tuple[tuple[str, int], ...]
+    route: str
+    rate: float
+    duration_s: float
+    deadline_ms: int = 1000
+    seed: int = 1
+    min_coverage: float = 1.0
+    is_command: bool = False
+    keys: int = 1000
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What came back.
+
+    Attributes:
+        latency: Times of whole answers in microseconds.
+        outcome: Count by kind of outcome.
+        attempts: Copies sent to upstreams for all answers.
+        shards_total: Shards asked for by the answers.
+        shards_answered: Shards that they cover.
+        mixed: Answers with rows of more than one version.
+        crossed: Answers to somebody else's request.
+    """
+
+    latency: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+    )
+    outcome: Counter[str] = field(default_factory=Counter)
+    attempts: int = 0
+    shards_total: int = 0
+    shards_answered: int = 0
+    mixed: int = 0
+    crossed: int = 0
+    records: list[dict[str, Any]] = field(default_factory=list)
+
+
+class Caller:
+    """A set of kept-alive connections to one entry.
+
+    Args:
+        host: IP address.
+        port: TCP port.
+    """
+
+    def __init__(self, host: str, port: int) -> None:
+        self._address = (host, port)
+        self._idle: list[HttpStream] = []
+
+    async def post(self, path: str, body: bytes) -> HttpReply:
+        """Send one request.
+
+        Raises:
+            ConnectionLostError: The connection was lost.
+            ProtocolError: The response is not HTTP.
+        """
+        while self._idle and self._idle[-1].stream.closed():
+            self._idle.pop()
+        if self._idle:
+            stream = self._idle.pop()
+        else:
+            stream = await connect(*self._address, CONNECT_TIMEOUT_S)
+        headers = {
+            "Host": "berylspool",
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+        }
+        try:
+            reply = await stream.send("POST", path, headers, body)
+        except BaseException:
+            stream.close()
+            raise
+        if reply.headers.get("Connection") == "close":
+            stream.close()
+        else:
+            self._idle.append(stream)
+        return reply
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for stream in self._idle:
+            stream.close()
+
+
+async def run_load(
+    plan: LoadPlan, progress: Callable[[int], None] = lambda sent: None
+) -> LoadResult:
+    """Send requests as planned and collect the answers.
+
+    Args:
+        plan: What to send.
+        progress: Called with the number of requests sent so far.
+
+    Returns:
+        What came back.
+    """
+    rng = random.Random(plan.seed)
+    callers = [Caller(host, port) for host, port in plan.targets]
+    result = LoadResult()
+    tasks: set[asyncio.Task[None]] = set()
+    start = time.monotonic()
+    due = start
+    total = int(plan.rate * plan.duration_s)
+    for number in range(total):
+        due += rng.expovariate(plan.rate)
+        pause_s = due - time.monotonic()
+        if pause_s > 0:
+            await asyncio.sleep(pause_s)
+        caller = rng.choice(callers)
+        body = _body(plan, number, rng.randrange(plan.keys))
+        task = asyncio.ensure_future(_send(plan, caller, body, due, result))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+        progress(number + 1)
+    if tasks:
+        limit_s = plan.deadline_ms / 1000 + GRACE_S
+        _, late = await asyncio.wait(tasks, timeout=limit_s)
+        result.outcome["no_reply"] += len(late)
+        for task in late:
+            task.cancel()
+    for caller in callers:
+        caller.close()
+    return result
+
+
+def _body(plan: LoadPlan, number: int, key: int) -> dict[str, Any]:
+    body: dict[str, Any] = {
+        "route": plan.route,
+        "query": {"q": key},
+        "deadline_ms": plan.deadline_ms,
+        "request_id": f"load-{plan.seed}-{number}",
+        "min_coverage": plan.min_coverage,
+    }
+    if plan.is_command:
+        body["key"] = f"key-{plan.seed}-{number}"
+        body["query"] = {"q": number}
+    return body
+
+
+async def _send(
+    plan: LoadPlan,
+    caller: Caller,
+    body: dict[str, Any],
+    due: float,
+    result: LoadResult,
+) -> None:
+    path = "/v1/command" if plan.is_command else "/v1/query"
+    try:
+        reply = await caller.post(path, orjson.dumps(body))
+    except (ConnectionLostError, ProtocolError):
+        result.outcome["connection_lost"] += 1
+        return
+    _collect(body, reply, time.monotonic() - due, result)
+
+
+def _collect(
+    body: dict[str, Any],
+    reply: HttpReply,
+    latency_s: float,
+    result: LoadResult,
+) -> None:
+    answer = orjson.loads(reply.body)
+    if answer.get("request_id") != body["request_id"]:
+        result.crossed += 1
+    if reply.status != 200:
+        kind = f"{answer.get('error')}:{answer.get('outcome')}"
+        result.outcome[kind] += 1
+        return
+    coverage = answer["coverage"]
+    is_whole = coverage["shards_answered"] == coverage["shards_total"]
+    result.outcome["whole" if is_whole else "partial"] += 1
+    result.attempts += answer["attempts"]
+    result.shards_total += coverage["shards_total"]
+    result.shards_answered += coverage["shards_answered"]
+    if len({row["version"] for row in answer["rows"]}) > 1:
+        result.mixed += 1
+    if is_whole:
+        result.latency.record_value(max(1, int(latency_s * 1e6)))
+
+
+def summary(plan: LoadPlan, result: LoadResult) -> dict[str, Any]:
+    """Return the figures of a run as JSON values; times in milliseconds."""
+    extra = 0.0
+    if result.shards_answered:
+        extra = result.attempts / result.shards_answered - 1.0
+    return {
+        "route": plan.route,
+        "rate": plan.rate,
+        "duration_s": plan.duration_s,
+        "seed": plan.seed,
+        "outcome": dict(result.outcome),
+        "latency_ms": {
+            f"p{percentile:g}": round(
+                result.latency.get_value_at_percentile(percentile) / 1000, 2
+            )
+            for percentile in PERCENTILES
+        },
+        "goodput": round(result.outcome["whole"] / plan.duration_s, 2),
+        "coverage": round(
+            result.shards_answered / max(result.shards_total, 1), 6
+        ),
+        "extra_load": round(extra, 4),
+        "mixed_snapshots": result.mixed,
+        "crossed": result.crossed,
+    }
--- /dev/null
+++ b/berylspool/process/metric.py
@@ -0,0 +1,105 @@
+"""Metrics: plain sums on the answering path, exported on scrape."""
+
+from collections import Counter as Tally
+from dataclasses import dataclass, field
+
+from aioprometheus import Counter, Gauge, Registry, render
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Metrics", "count", "exposition", "record_latency", "set_gauge"]
+
+LONGEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+Labels = tuple[tuple[str, str], ...]
+
+HELP_BY_NAME = {
+    "berylspool_requests_total": "Requests of callers, by route and outcome.",
+    "berylspool_parts_total": "Copies sent to upstreams, by service and kind.",
+    "berylspool_latency_seconds": "Time to answer, by route and quantile.",
+    "berylspool_configuration_revision": "Configuration in force.",
+    "berylspool_lease_held": "Whether the lease is held.",
+    "berylspool_in_flight": "Requests of callers in flight.",
+    "berylspool_term": "Consensus term of a control node.",
+    "berylspool_leader": "Whether this control node leads.",
+    "berylspool_commit_index": "Committed records of a control node.",
+    "berylspool_members": "Entries in the active table.",
+}
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+
+
+@dataclass(slots=True)
+class Metrics:
+    """Sums of one process.
+
+    Attributes:
+        sum_by_series: Counters by name and labels.
+        gauge_by_series: Gauges by name and labels.
+        latency_by_route: Answer times in microseconds.
+    """
+
+    sum_by_series: Tally[tuple[str, Labels]] = field(default_factory=Tally)
+    gauge_by_series: dict[tuple[str, Labels], float] = field(
+        default_factory=dict
+    )
+    latency_by_route: dict[str, HdrHistogram] = field(default_factory=dict)
+
+
+def count(metrics: Metrics, name: str, **labels: str) -> None:
+    """Add one to a counter.
+
+    Examples:
+        >>> metrics = Metrics()
+        >>> count(metrics, "berylspool_requests_total", route="r")
+        >>> "berylspool_requests_total" in exposition(metrics)[0].decode()
+        True
+    """
+    metrics.sum_by_series[name, tuple(sorted(labels.items()))] += 1
+
+
+def set_gauge(metrics: Metrics, name: str, value: float, **labels: str) -> None:
+    """Set a gauge."""
+    metrics.gauge_by_series[name, tuple(sorted(labels.items()))] = value
+
+
+def record_latency(metrics: Metrics, route: str, latency_s: float) -> None:
+    """Add one answer time in seconds."""
+    histogram = metrics.latency_by_route.get(route)
+    if histogram is None:
+        histogram = metrics.latency_by_route[route] = _histogram()
+    histogram.record_value(max(1, min(LONGEST_US, int(latency_s * 1e6))))
+
+
+def exposition(metrics: Metrics) -> tuple[bytes, str]:
+    """Return the metrics in the Prometheus text format.
+
+    Returns:
+        Body and content type of the response.
+    """
+    registry = Registry()
+    exported: dict[str, Counter | Gauge] = {}
+    for (name, labels), value in metrics.sum_by_series.items():
+        if name not in exported:
+            exported[name] = Counter(name, HELP_BY_NAME[name])
+        exported[name].set(dict(labels), value)
+    for (name, labels), level in metrics.gauge_by_series.items():
+        if name not in exported:
+            exported[name] = Gauge(name, HELP_BY_NAME[name])
+        exported[name].set(dict(labels), level)
+    name = "berylspool_latency_seconds"
+    for route, histogram in metrics.latency_by_route.items():
+        if name not in exported:
+            exported[name] = Gauge(name, HELP_BY_NAME[name])
+        for percentile in PERCENTILES:
+            value_us = histogram.get_value_at_percentile(percentile)
+            quantile = f"{percentile / 100:g}"
+            labels_of = {"route": route, "quantile": quantile}
+            exported[name].set(labels_of, value_us / 1e6)
+    for metric in exported.values():
+        registry.register(metric)
+    body, headers = render(registry, ["text/plain"])
+    return body, headers["Content-Type"]
--- /dev/null
+++ b/berylspool/process/router.py
@@ -0,0 +1,268 @@
+"""The router task: it owns the routing state, the pools and the links."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.message import (
+    AskPart,
+    DropPart,
+    Member,
+    peer_codec,
+)
+from berylspool.connection.peer import Link, LinkServer, Session
+from berylspool.exception import ProtocolError
+from berylspool.process.event import (
+    Event,
+    LinkChanged,
+    MembersChanged,
+    ServicePlaced,
+)
+from berylspool.process.routing import (
+    BlameHeard,
+    BlameRaised,
+    LinkDown,
+    LinkUp,
+    Origin,
+    PartDropped,
+    PartWanted,
+    PoolDrained,
+    PoolKey,
+    ResultCame,
+    Routing,
+    RoutingAction,
+    RoutingEvent,
+    SessionClosed,
+    StartPool,
+    StopPool,
+    TableChanged,
+    TableDrained,
+    ToOrigin,
+    ToPeer,
+    ToPeers,
+    ToPool,
+    Woken,
+    step,
+)
+from berylspool.request.query import (
+    PartFailed,
+    PartRefused,
+    PartResult,
+    PartRows,
+)
+from berylspool.version.pool import PoolTask
+from berylspool.version.pool_message import Blame, Observed
+from berylspool.version.pool_state import Tuning
+
+__all__ = ["Router"]
+
+WAKE_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """A request task wants the results of its parts."""
+
+    request_id: str
+    inbox: Mailbox[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class Unsubscribe:
+    """A request task has ended."""
+
+    request_id: str
+
+
+RouterMessage = RoutingEvent | Subscribe | Unsubscribe
+
+
+class Router:
+    """Task that owns an entry's routing.
+
+    Args:
+        routing: Its state.
+        tuning: Settings of the pools.
+        log: Takes log events.
+        clock: Monotonic time in seconds.
+        drained: Takes the epoch of a table once moved pools have drained.
+        observed: Takes what the judgement of versions counts.
+    """
+
+    def __init__(
+        self,
+        routing: Routing,
+        tuning: Tuning,
+        *,
+        log: Callable[[Event], None],
+        clock: Callable[[], float],
+        drained: Callable[[int], None] = lambda epoch: None,
+        observed: Callable[[Observed], None] = lambda observed: None,
+    ) -> None:
+        self.inbox: Mailbox[RouterMessage] = Mailbox()
+        self.routing = routing
+        self.pool_by_key: dict[PoolKey, PoolTask] = {}
+        self.server = LinkServer(
+            peer_codec(), sink=self._heard, closed=self._session_ended
+        )
+        self._tuning = tuning
+        self._log = log
+        self._clock = clock
+        self._drained = drained
+        self._observed = observed
+        self._link_by_member: dict[str, Link] = {}
+        self._task_by_member: dict[str, asyncio.Task[None]] = {}
+        self._request_by_id: dict[str, Mailbox[Any]] = {}
+        self._pool_tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Serve the inbox until the task is cancelled."""
+        try:
+            while True:
+                messages = await self.inbox.take(WAKE_S) or [Woken()]
+                for message in messages:
+                    self._handle(message)
+        finally:
+            for task in (*self._task_by_member.values(), *self._pool_tasks):
+                task.cancel()
+
+    def _handle(self, message: RouterMessage) -> None:
+        match message:
+            case Subscribe(request_id=request_id, inbox=inbox):
+                self._request_by_id[request_id] = inbox
+            case Unsubscribe(request_id=request_id):
+                self._request_by_id.pop(request_id, None)
+            case _:
+                for action in step(self.routing, message, self._clock()):
+                    self._perform(action)
+                if isinstance(message, TableChanged):
+                    self._match_links(message)
+
+    def _perform(self, action: RoutingAction) -> None:
+        match action:
+            case ToPool(key=key, event=event):
+                pool = self.pool_by_key.get(key)
+                if pool is not None:
+                    pool.inbox.put(event)
+            case ToPeer(member=member, message=message):
+                self._to_peer(member, message)
+            case ToPeers(message=blame):
+                for link in self._link_by_member.values():
+                    link.inbox.put(blame)
+            case ToOrigin(origin=origin, result=result):
+                self._to_origin(origin, result)
+            case StartPool(key=key):
+                self._start_pool(key)
+            case StopPool(key=key):
+                self.pool_by_key.pop(key, None)
+            case TableDrained(epoch=epoch):
+                self._drained(epoch)
+
+    def _to_peer(
+        self, member: str, message: AskPart | DropPart | Blame
+    ) -> None:
+        link = self._link_by_member.get(member)
+        if link is None:
+            self.inbox.put(LinkDown(member))
+        else:
+            link.inbox.put(message)
+
+    def _to_origin(self, origin: Origin, result: PartResult) -> None:
+        inbox: Mailbox[Any] | None
+        if origin.is_session:
+            session = self.server.session_by_id.get(origin.id)
+            inbox = session.inbox if session else None
+        else:
+            inbox = self._request_by_id.get(origin.id)
+        if inbox is not None:
+            inbox.put(result)
+
+    def _start_pool(self, key: PoolKey) -> None:
+        service, version = key
+        pool = PoolTask(
+            service,
+            version,
+            self._tuning,
+            reply=lambda result: self.inbox.put(ResultCame(result)),
+            blame=lambda blame: self.inbox.put(BlameRaised(blame)),
+            drained=lambda: self.inbox.put(PoolDrained(key)),
+            observed=self._observed,
+            log=self._log,
+            clock=self._clock,
+        )
+        self.pool_by_key[key] = pool
+        task = asyncio.ensure_future(pool.run())
+        self._pool_tasks.add(task)
+        task.add_done_callback(self._pool_tasks.discard)
+        epoch = self.routing.active.epoch
+        self._log(ServicePlaced(service, self.routing.name, epoch))
+
+    def _match_links(self, message: TableChanged) -> None:
+        """Keep a link to exactly the other members of the newest table."""
+        table = message.table
+        others = {
+            name: member
+            for name, member in table.member_by_name.items()
+            if name != self.routing.name
+        }
+        self._log(
+            MembersChanged(
+                table.epoch, ",".join(sorted(others)), table.is_active
+            )
+        )
+        for name in self._link_by_member.keys() - others.keys():
+            if table.is_active:
+                self._close_link(name)
+        for name in others.keys() - self._link_by_member.keys():
+            self._open_link(others[name])
+
+    def _open_link(self, member: Member) -> None:
+        name = member.name
+        link = Link(
+            self.routing.name,
+            member.host,
+            member.port,
+            peer_codec(),
+            sink=lambda message: self._heard_on_link(message),
+            up=lambda: self._link_up(name),
+            down=lambda: self._link_down(name),
+        )
+        self._link_by_member[name] = link
+        self._task_by_member[name] = asyncio.ensure_future(link.run())
+
+    def _close_link(self, name: str) -> None:
+        del self._link_by_member[name]
+        self._task_by_member.pop(name).cancel()
+        self.inbox.put(LinkDown(name))
+
+    def _link_up(self, name: str) -> None:
+        self._log(LinkChanged(name, "up"))
+        self.inbox.put(LinkUp(name))
+
+    def _link_down(self, name: str) -> None:
+        self._log(LinkChanged(name, "down"))
+        self.inbox.put(LinkDown(name))
+
+    def _heard_on_link(self, message: Any) -> None:
+        match message:
+            case PartRows() | PartRefused() | PartFailed():
+                self.inbox.put(ResultCame(message))
+
+    def _heard(self, session: Session, message: Any) -> None:
+        origin = Origin(session.id, is_session=True)
+        match message:
+            case AskPart(part=part):
+                self.inbox.put(PartWanted(origin, part))
+            case DropPart(part_id=part_id):
+                self.inbox.put(PartDropped(part_id))
+            case Blame():
+                self.inbox.put(BlameHeard(message))
+
+    def _session_ended(
+        self, session: Session, error: ProtocolError | None
+    ) -> None:
+        if error is not None:
+            self._log(LinkChanged(session.peer or "unknown", str(error)))
+        self.inbox.put(SessionClosed(session.id))
--- /dev/null
+++ b/berylspool/request/fanout.py
@@ -0,0 +1,313 @@
+"""Decisions of one request: fan-out over shards and merge of the parts.
+
+The fan-out pins one snapshot, sends one part to each shard of the pinned
+partition map and merges only answers that name the same snapshot.  A
+snapshot that vanishes before any answer of it was accepted is replaced once
+by the newest one; otherwise it is stated as lost coverage.
+
+Two-level fan-out and coverage follow Dean and Barroso, "The Tail at Scale",
+CACM 56(2), 2013.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from berylspool.request.query import (
+    Answer,
+    Coverage,
+    Outcome,
+    Part,
+    PartFailed,
+    PartRefused,
+    PartResult,
+    PartRows,
+    Query,
+    Reason,
+    Refusal,
+    Snapshot,
+)
+
+__all__ = [
+    "CallerGone",
+    "CancelPart",
+    "DeadlinePassed",
+    "FanOut",
+    "FanOutAction",
+    "FanOutEvent",
+    "Finish",
+    "Pinned",
+    "SendPart",
+    "start",
+    "step",
+]
+
+MAX_SENDS_PER_SHARD = 3
+RESEND_REASONS = frozenset({Reason.NO_OWNER, Reason.SHUTTING_DOWN})
+RESTART_LIMIT = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Pinned:
+    """The partition map that a request is pinned to.
+
+    Attributes:
+        snapshot: Snapshot of the map.
+        services: Service of each shard, in shard order.
+    """
+
+    snapshot: Snapshot
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class DeadlinePassed:
+    """The caller's deadline has passed."""
+
+
+@dataclass(frozen=True, slots=True)
+class CallerGone:
+    """The caller has closed its connection."""
+
+
+FanOutEvent = PartResult | DeadlinePassed | CallerGone
+
+
+@dataclass(frozen=True, slots=True)
+class SendPart:
+    """Send a part to the owner of its service."""
+
+    part: Part
+
+
+@dataclass(frozen=True, slots=True)
+class CancelPart:
+    """Tell the owner that a part's answer is no longer wanted."""
+
+    part: Part
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Hand the outcome to the caller; no action follows it."""
+
+    outcome: Outcome
+
+
+FanOutAction = SendPart | CancelPart | Finish
+
+
+@dataclass(slots=True)
+class FanOut:
+    """State of one request's fan-out.
+
+    Attributes:
+        query: The request.
+        pinned: Partition map that the request is pinned to.
+        newest: Partition map to restart on if the pinned one vanishes.
+        pending: Parts without a result, by part id.
+        rows: Rows of the answered shards, by shard index.
+        missing: Reasons of the failed shards, by shard index.
+        sends: Sends of each shard, by shard index.
+        attempts: Copies that owners sent to upstreams.
+        may_have_run: Whether any upstream may have run a part.
+        retry_after_s: Longest wait that an owner asked for, in seconds.
+        restarts: Restarts on a newer snapshot.
+        finished: Whether the outcome was handed over.
+    """
+
+    query: Query
+    pinned: Pinned
+    newest: Pinned
+    pending: dict[str, Part] = field(default_factory=dict)
+    rows: dict[int, tuple[Any, ...]] = field(default_factory=dict)
+    missing: dict[int, Reason] = field(default_factory=dict)
+    sends: dict[int, int] = field(default_factory=dict)
+    attempts: int = 0
+    may_have_run: bool = False
+    retry_after_s: float = 0.0
+    restarts: int = 0
+    finished: bool = False
+
+
+def start(
+    query: Query, pinned: Pinned, now: float
+) -> tuple[FanOut, list[FanOutAction]]:
+    """Pin a snapshot and send one part to each of its shards.
+
+    Args:
+        query: The validated request.
+        pinned: Partition map to pin.
+        now: Monotonic time in seconds.
+
+    Returns:
+        The new state and a `SendPart` for each shard.
+
+    Examples:
+        >>> query = Query("r1", "permits", "{}", 1.0, "f")
+        >>> pinned = Pinned(Snapshot("v1", 1), ("a", "b"))
+        >>> state, actions = start(query, pinned, 0.0)
+        >>> [action.part.service for action in actions]
+        ['a', 'b']
+    """
+    state = FanOut(query, pinned, pinned)
+    return state, _send_all(state, now)
+
+
+def step(state: FanOut, event: FanOutEvent, now: float) -> list[FanOutAction]:
+    """Apply one event to the fan-out.
+
+    Args:
+        state: State to change in place.
+        event: What happened.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Actions for the request's task, in order.  Results of parts that are
+        not pending (late, doubled or crossed) give no action.
+    """
+    if state.finished:
+        return []
+    match event:
+        case DeadlinePassed():
+            return _abandon(state, Reason.TIMEOUT)
+        case CallerGone():
+            return _abandon(state, Reason.CANCELLED)
+        case PartRows() | PartRefused() | PartFailed():
+            part = state.pending.pop(event.part_id, None)
+            if part is None:
+                return []
+            actions = _settle(state, part, event, now)
+            if not state.pending:
+                return [*actions, _finish(state)]
+            if _is_hopeless(state):
+                return actions + _abandon(state, Reason.CANCELLED)
+            return actions
+
+
+def _send_all(state: FanOut, now: float) -> list[FanOutAction]:
+    return [
+        _send(state, shard, now) for shard in range(len(state.pinned.services))
+    ]
+
+
+def _send(state: FanOut, shard: int, now: float) -> SendPart:
+    query, pinned = state.query, state.pinned
+    serial = state.sends.get(shard, 0) + 1
+    state.sends[shard] = serial
+    part = Part(
+        id=f"{query.id}/{state.restarts}.{shard}.{serial}",
+        request_id=query.id,
+        service=pinned.services[shard],
+        shard=shard,
+        snapshot=pinned.snapshot,
+        body=query.body,
+        timeout_s=max(query.deadline - now, 0.0),
+        fingerprint=query.fingerprint,
+        idempotent=query.key is None,
+        route=query.route,
+    )
+    state.pending[part.id] = part
+    return SendPart(part)
+
+
+def _settle(
+    state: FanOut, part: Part, result: PartResult, now: float
+) -> list[FanOutAction]:
+    match result:
+        case PartRows(snapshot=snapshot) if snapshot != part.snapshot:
+            state.attempts += result.attempts
+            state.may_have_run = True
+            return _lose_snapshot(state, part, now)
+        case PartRows():
+            state.attempts += result.attempts
+            state.may_have_run = True
+            state.rows[part.shard] = result.rows
+        case PartFailed(reason=Reason.WRONG_SNAPSHOT):
+            state.attempts += result.attempts
+            return _lose_snapshot(state, part, now)
+        case PartFailed(reason=reason):
+            state.attempts += result.attempts
+            state.may_have_run = True
+            if part.idempotent and reason in RESEND_REASONS:
+                return _resend(state, part, reason, now)
+            state.missing[part.shard] = reason
+        case PartRefused(reason=reason):
+            if reason in RESEND_REASONS:
+                return _resend(state, part, reason, now)
+            state.retry_after_s = max(state.retry_after_s, result.retry_after_s)
+            state.missing[part.shard] = reason
+    return []
+
+
+def _resend(
+    state: FanOut, part: Part, reason: Reason, now: float
+) -> list[FanOutAction]:
+    sent = state.sends[part.shard]
+    if sent >= MAX_SENDS_PER_SHARD or now >= state.query.deadline:
+        state.missing[part.shard] = reason
+        return []
+    return [_send(state, part.shard, now)]
+
+
+def _lose_snapshot(state: FanOut, part: Part, now: float) -> list[FanOutAction]:
+    """Restart on the newest snapshot, or state the shard as missing."""
+    can_restart = (
+        state.restarts < RESTART_LIMIT
+        and state.newest.snapshot != state.pinned.snapshot
+        and part.idempotent
+        and now < state.query.deadline
+    )
+    if not can_restart:
+        state.missing[part.shard] = Reason.WRONG_SNAPSHOT
+        return []
+    cancels: list[FanOutAction] = [
+        CancelPart(pending) for pending in state.pending.values()
+    ]
+    state.restarts += 1
+    state.pinned = state.newest
+    state.pending.clear()
+    state.rows.clear()
+    state.missing.clear()
+    state.sends.clear()
+    return cancels + _send_all(state, now)
+
+
+def _is_hopeless(state: FanOut) -> bool:
+    """Return whether the least coverage can no longer be reached."""
+    total = len(state.pinned.services)
+    reachable = total - len(state.missing)
+    return reachable < state.query.min_coverage * total
+
+
+def _abandon(state: FanOut, reason: Reason) -> list[FanOutAction]:
+    actions: list[FanOutAction] = []
+    for part in state.pending.values():
+        actions.append(CancelPart(part))
+        state.missing[part.shard] = reason
+    # A part that is still at its owner may be running right now.
+    state.may_have_run = state.may_have_run or bool(state.pending)
+    state.pending.clear()
+    return [*actions, _finish(state)]
+
+
+def _finish(state: FanOut) -> Finish:
+    state.finished = True
+    query, total = state.query, len(state.pinned.services)
+    is_thin = len(state.rows) < query.min_coverage * total
+    if is_thin or (not state.rows and state.missing):
+        reason = next(iter(state.missing.values()))
+        return Finish(
+            Refusal(
+                query.id,
+                reason,
+                not_run=not state.may_have_run,
+                retry_after_s=state.retry_after_s,
+            )
+        )
+    rows = tuple(
+        row for shard in sorted(state.rows) for row in state.rows[shard]
+    )
+    coverage = Coverage(total, len(state.rows), dict(state.missing))
+    return Finish(
+        Answer(query.id, state.pinned.snapshot, rows, coverage, state.attempts)
+    )
--- /dev/null
+++ b/berylspool/request/tests/test_fanout.py
@@ -0,0 +1,139 @@
+"""Property tests of the fan-out against an oracle."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylspool.request.fanout import (
+    CallerGone,
+    DeadlinePassed,
+    Finish,
+    Pinned,
+    SendPart,
+    start,
+    step,
+)
+from berylspool.request.query import (
+    Answer,
+    PartFailed,
+    PartRefused,
+    PartRows,
+    Query,
+    Reason,
+    Refusal,
+    Snapshot,
+)
+
+V1 = Snapshot("v1", 1)
+V2 = Snapshot("v2", 2)
+
+
+def query(**changes):
+    fields = {
+        "id": "q",
+        "route": "r",
+        "body": "{}",
+        "deadline": 1.0,
+        "fingerprint": "f",
+    }
+    return Query(**{**fields, **changes})
+
+
+def begin(shards, **changes):
+    pinned = Pinned(V1, tuple(f"s{i}" for i in range(shards)))
+    state, actions = start(query(**changes), pinned, 0.0)
+    return state, [a.part for a in actions if isinstance(a, SendPart)]
+
+
+def outcome_of(actions):
+    found = [a.outcome for a in actions if isinstance(a, Finish)]
+    assert len(found) <= 1
+    return found[0] if found else None
+
+
+RESULTS = st.sampled_from(["rows", "mixed", "refused", "failed", "ignored"])
+
+
+def result(kind, part):
+    match kind:
+        case "rows":
+            return PartRows(part.id, part.snapshot, (part.shard,), 1)
+        case "mixed":
+            return PartRows(part.id, V2, (part.shard,), 1)
+        case "refused":
+            return PartRefused(part.id, Reason.OVERLOAD, 0.1)
+        case "failed":
+            return PartFailed(part.id, Reason.UPSTREAM_ERROR, 1)
+
+
+@given(st.lists(RESULTS, min_size=1, max_size=12), st.randoms())
+def test_coverage_counts_exactly_the_shards_with_rows(kinds, rng):
+    state, parts = begin(len(kinds))
+    events = [
+        result(kind, part)
+        for kind, part in zip(kinds, parts, strict=True)
+        if kind != "ignored"
+    ]
+    events += events[: len(events) // 2]
+    rng.shuffle(events)
+    outcomes = [outcome_of(step(state, e, 0.1)) for e in events]
+    outcomes.append(outcome_of(step(state, DeadlinePassed(), 1.0)))
+    ended = [o for o in outcomes if o is not None]
+    assert len(ended) == 1
+    whole = {i for i, kind in enumerate(kinds) if kind == "rows"}
+    match ended[0]:
+        case Answer(rows=rows, coverage=coverage):
+            assert set(rows) == whole and len(rows) == len(whole)
+            assert coverage.answered == len(whole)
+            assert coverage.total == len(kinds)
+            assert set(coverage.missing) == set(range(len(kinds))) - whole
+        case Refusal(not_run=not_run):
+            assert not whole
+            ran = {"mixed", "failed", "ignored"} & set(kinds)
+            assert not_run == (not ran)
+
+
+def test_rows_of_another_snapshot_are_never_merged():
+    state, parts = begin(2)
+    step(state, PartRows(parts[0].id, V1, ("a",), 1), 0.1)
+    outcome = outcome_of(step(state, PartRows(parts[1].id, V2, ("b",), 1), 0.1))
+    assert outcome.rows == ("a",)
+    assert outcome.coverage.missing == {1: Reason.WRONG_SNAPSHOT}
+
+
+def test_vanished_snapshot_restarts_once_on_the_newest():
+    state, parts = begin(2)
+    state.newest = Pinned(V2, ("s0", "s1", "s2"))
+    step(state, PartRows(parts[0].id, V1, ("old",), 1), 0.1)
+    actions = step(
+        state, PartFailed(parts[1].id, Reason.WRONG_SNAPSHOT, 1), 0.1
+    )
+    sent = [a.part for a in actions if isinstance(a, SendPart)]
+    assert [part.snapshot for part in sent] == [V2, V2, V2]
+    late = PartRows(parts[0].id, V1, ("old",), 1)
+    assert step(state, late, 0.2) == []
+    for part in sent:
+        done = step(state, PartRows(part.id, V2, (part.shard,), 1), 0.2)
+    answer = outcome_of(done)
+    assert answer.snapshot == V2 and answer.rows == (0, 1, 2)
+
+
+def test_part_of_a_command_is_not_sent_again_after_it_may_have_run():
+    state, parts = begin(1, key="k")
+    actions = step(state, PartFailed(parts[0].id, Reason.SHUTTING_DOWN, 1), 0.1)
+    assert not any(isinstance(a, SendPart) for a in actions)
+    assert outcome_of(actions).not_run is False
+
+
+def test_least_coverage_ends_early_and_cancels_the_rest():
+    state, parts = begin(4, min_coverage=1.0)
+    refused = PartRefused(parts[2].id, Reason.OVERLOAD, 0.1)
+    actions = step(state, refused, 0.1)
+    assert outcome_of(actions).reason is Reason.OVERLOAD
+    assert len(actions) == 4
+
+
+def test_caller_gone_cancels_every_pending_part():
+    state, parts = begin(3)
+    actions = step(state, CallerGone(), 0.1)
+    assert len(actions) == 4
+    assert step(state, DeadlinePassed(), 1.0) == []
--- /dev/null
+++ b/berylspool/version/attempt.py
@@ -0,0 +1,181 @@
+"""Decisions of a pool about attempts that end: answered, lost or silent."""
+
+from berylspool.request.query import PartFailed, PartRows, Reason
+from berylspool.version.pool_message import (
+    AttemptAnswered,
+    Blame,
+    CancelAttempt,
+    Disconnect,
+    ErrorReply,
+    NotRunReply,
+    Observed,
+    PoolAction,
+    RowsReply,
+    Silent,
+    TimerKind,
+)
+from berylspool.version.pool_state import (
+    Job,
+    Pool,
+    end_attempt,
+    enqueue,
+    fail,
+    resolve,
+    set_timer,
+)
+from berylspool.version.ramp import (
+    SHED_BACKOFF_S,
+    on_answer,
+    on_cold,
+    on_instance,
+)
+from berylspool.version.suspicion import Verdict, blame, clear, is_convicted
+from berylspool.version.tail import observe, withdraw
+from berylspool.version.upstream_view import ConnectionState, UpstreamView
+
+__all__ = ["on_attempt_answered", "on_attempt_lost", "retire_silent"]
+
+RETRY_AFTER_LOSS_S = 0.02
+MAX_SENDS = 4
+LATENCY_GAIN = 0.05
+
+
+def on_attempt_answered(
+    pool: Pool, event: AttemptAnswered, now: float
+) -> list[PoolAction]:
+    """Handle an upstream's reply to an attempt."""
+    attempt = end_attempt(pool, event.attempt_id)
+    if attempt is None:
+        return []
+    view = pool.view_by_upstream.get(attempt.upstream_id)
+    if view is not None:
+        if on_instance(view.ramp, event.instance):
+            view.is_draining = False
+        view.reported_load = event.load
+    job = pool.job_by_part.get(attempt.part_id)
+    latency_s = now - attempt.sent_at
+    actions: list[PoolAction] = []
+    if job is not None and not attempt.is_cancelled:
+        actions.append(Observed(job.part, event.reply, latency_s))
+    if job is None:
+        return actions
+    match event.reply:
+        case RowsReply(snapshot=snapshot, rows=rows):
+            if view is not None:
+                on_answer(view.ramp, now)
+                view.observe(latency_s)
+                view.reopen_delay_s = 0.0
+            pool.mean_s += LATENCY_GAIN * (latency_s - pool.mean_s)
+            observe(pool.delay, latency_s)
+            clear(pool.suspicion, job.part.fingerprint)
+            result = PartRows(job.part.id, snapshot, rows, job.sends)
+            return actions + resolve(pool, job, result)
+        case NotRunReply(reason=reason):
+            return actions + _not_run(pool, job, view, reason, now)
+        case ErrorReply(reason=reason):
+            job.has_run = True
+            job.last_reason = reason
+            return actions + _retry(pool, job, now, 0.0)
+    return actions
+
+
+def _not_run(
+    pool: Pool,
+    job: Job,
+    view: UpstreamView | None,
+    reason: Reason,
+    now: float,
+) -> list[PoolAction]:
+    job.last_reason = reason
+    if view is not None:
+        match reason:
+            case Reason.OVERLOAD:
+                view.ramp.shed_until = now + SHED_BACKOFF_S
+            case Reason.COLD:
+                on_cold(view.ramp)
+                view.ramp.shed_until = now + SHED_BACKOFF_S
+            case Reason.SHUTTING_DOWN:
+                view.is_draining = True
+        job.tried.discard(view.upstream.id)
+    if reason is Reason.WRONG_SNAPSHOT:
+        result = PartFailed(job.part.id, reason, job.sends)
+        return resolve(pool, job, result)
+    if job.sends >= MAX_SENDS:
+        return fail(pool, job, reason)
+    # The upstream did not run it, so a new send doubles nothing.
+    if not job.attempt_by_id and not job.queued:
+        enqueue(pool, job, is_hedge=False)
+    return []
+
+
+def _retry(
+    pool: Pool, job: Job, now: float, delay_s: float
+) -> list[PoolAction]:
+    """Send a part again after a failure, if that is safe and affordable."""
+    if job.attempt_by_id or job.queued:
+        return []
+    if (
+        not job.part.idempotent
+        or job.sends >= MAX_SENDS
+        or is_convicted(pool.suspicion, job.part.fingerprint)
+        or not withdraw(pool.budget)
+    ):
+        return fail(pool, job, job.last_reason)
+    if len(job.tried) >= len(pool.view_by_upstream):
+        job.tried.clear()
+    set_timer(pool, now + delay_s, job.part.id, TimerKind.RETRY)
+    return []
+
+
+def on_attempt_lost(
+    pool: Pool,
+    attempt_id: int | None,
+    view: UpstreamView | None,
+    now: float,
+) -> list[PoolAction]:
+    """Handle a connection that closed under an attempt."""
+    attempt = end_attempt(pool, attempt_id)
+    job = pool.job_by_part.get(attempt.part_id) if attempt else None
+    if attempt is None or job is None:
+        return []
+    actions: list[PoolAction] = []
+    job.has_run = True
+    job.last_reason = Reason.CONNECTION_LOST
+    if view is not None:
+        # A reset is evidence against the request as well as the upstream.
+        job.warm_only = True
+        fingerprint = job.part.fingerprint
+        verdict = Verdict.CONVICTED if attempt.is_alone else Verdict.SUSPECT
+        blame(pool.suspicion, fingerprint, verdict, now)
+        actions.append(Blame(fingerprint, view.upstream.id, verdict))
+        latency_s = now - attempt.sent_at
+        reply = ErrorReply(Reason.CONNECTION_LOST)
+        actions.append(Observed(job.part, reply, latency_s))
+    return actions + _retry(pool, job, now, RETRY_AFTER_LOSS_S)
+
+
+def retire_silent(pool: Pool, attempt_id: int, now: float) -> list[PoolAction]:
+    """Replace a connection that has owed an answer for too long."""
+    attempt = pool.attempt_by_id.get(attempt_id)
+    if attempt is None:
+        return []
+    view = pool.view_by_upstream.get(attempt.upstream_id)
+    if view is None:
+        return []
+    connection = view.connection_by_id.get(attempt.connection_id)
+    if connection is None:
+        return []
+    connection.state = ConnectionState.RETIRED
+    connection.attempt_id = None
+    end_attempt(pool, attempt.id)
+    actions: list[PoolAction] = [
+        CancelAttempt(attempt.upstream_id, attempt.part_id, attempt.id),
+        Disconnect(connection.id),
+        Silent(attempt.upstream_id, connection.id, now - attempt.sent_at),
+    ]
+    job = pool.job_by_part.get(attempt.part_id)
+    if job is None:
+        return actions
+    job.has_run = True
+    job.last_reason = Reason.CONNECTION_LOST
+    return actions + _retry(pool, job, now, 0.0)
--- /dev/null
+++ b/berylspool/version/configuration.py
@@ -0,0 +1,252 @@
+"""Core types of the configuration that control distributes.
+
+A configuration is immutable: a change makes a new one with the next
+revision, so everything that reads it holds one consistent view.
+"""
+
+import enum
+from dataclasses import dataclass, field
+
+from berylspool.exception import ConfigurationError, UnknownRouteError
+from berylspool.request.fanout import Pinned
+from berylspool.request.query import Snapshot
+from berylspool.version.move import Move, traffic_share
+
+__all__ = [
+    "Configuration",
+    "Limits",
+    "Route",
+    "Service",
+    "Upstream",
+    "UpstreamState",
+    "Version",
+    "Zone",
+    "ZoneState",
+    "check",
+    "live_versions",
+    "pin",
+    "serving_upstreams",
+]
+
+SHARE_STEPS = 10_000
+
+
+class ZoneState(enum.StrEnum):
+    """Whether an availability zone takes new work."""
+
+    IN = "in"
+    OUT = "out"
+
+
+class UpstreamState(enum.StrEnum):
+    """Whether an upstream takes new work."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True, slots=True)
+class Zone:
+    """An availability zone."""
+
+    name: str
+    state: ZoneState = ZoneState.IN
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What one upstream of a service bears.
+
+    Attributes:
+        slots: Requests at once when warm.
+        connections: Open connections, all owners together.
+        cold_slots: Requests at once right after a start.
+        ramp_s: Time from the first answer after a start to `slots`, in
+            seconds.
+    """
+
+    slots: int = 3
+    connections: int = 30
+    cold_slots: int = 1
+    ramp_s: float = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Upstream:
+    """One back end of a service.
+
+    Attributes:
+        id: Unique in the configuration.
+        host: IP address.
+        port: TCP port.
+        zone: Availability zone it runs in.
+        version: Index version it serves.
+        state: Whether it takes new work.
+    """
+
+    id: str
+    host: str
+    port: int
+    zone: str
+    version: str
+    state: UpstreamState = UpstreamState.SERVING
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A service and the upstreams behind it.
+
+    Attributes:
+        name: Unique in the configuration.
+        zones: Availability zones that serve it; empty means all.
+        limits: What each upstream bears.
+        upstream_by_id: Upstreams of all versions.
+    """
+
+    name: str
+    zones: tuple[str, ...] = ()
+    limits: Limits = Limits()
+    upstream_by_id: dict[str, Upstream] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Version:
+    """An index version of a route with its partition map.
+
+    Attributes:
+        name: Unique in the route.
+        partition: Revision of the partition map.
+        services: Service of each shard, in shard order.
+    """
+
+    name: str
+    partition: int
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """A kind of request that callers send.
+
+    Attributes:
+        name: Unique in the configuration.
+        stable: Version that carries the traffic outside of moves.
+        version_by_name: Versions that may be read.
+        blocked: Versions that were taken back and not cleared since.
+    """
+
+    name: str
+    stable: str
+    version_by_name: dict[str, Version]
+    blocked: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Everything that operators have stated, at one revision."""
+
+    revision: int = 0
+    zone_by_name: dict[str, Zone] = field(default_factory=dict)
+    service_by_name: dict[str, Service] = field(default_factory=dict)
+    route_by_name: dict[str, Route] = field(default_factory=dict)
+    move_by_route: dict[str, Move] = field(default_factory=dict)
+
+
+def check(configuration: Configuration) -> None:
+    """Check that all names in a configuration resolve.
+
+    Args:
+        configuration: Configuration to check.
+
+    Raises:
+        ConfigurationError: A name is not defined, or a stable version is
+            missing.
+    """
+    for service in configuration.service_by_name.values():
+        named = set(service.zones)
+        named.update(u.zone for u in service.upstream_by_id.values())
+        for zone in sorted(named - configuration.zone_by_name.keys()):
+            raise ConfigurationError(
+                f"service {service.name!r}: zone {zone!r} is not defined"
+            )
+    for route in configuration.route_by_name.values():
+        if route.stable not in route.version_by_name:
+            raise ConfigurationError(
+                f"route {route.name!r}: version {route.stable!r} is not defined"
+            )
+        for version in route.version_by_name.values():
+            for name in version.services:
+                if name not in configuration.service_by_name:
+                    raise ConfigurationError(
+                        f"route {route.name!r}: service {name!r} is not defined"
+                    )
+
+
+def pin(configuration: Configuration, route: str, ticket: int) -> Pinned:
+    """Choose the version that a request reads and pin its partition map.
+
+    Args:
+        configuration: Configuration in force.
+        route: Name of the route.
+        ticket: Any integer that is uniform over requests; equal tickets
+            give equal choices.
+
+    Returns:
+        The pinned partition map.
+
+    Raises:
+        UnknownRouteError: The route is not defined.
+
+    Examples:
+        >>> route = Route("permits", "v1", {"v1": Version("v1", 1, ("a",))})
+        >>> pin(Configuration(route_by_name={"permits": route}), "permits", 7)
+        Pinned(snapshot=Snapshot(version='v1', partition=1), services=('a',))
+    """
+    if route not in configuration.route_by_name:
+        raise UnknownRouteError(f"route {route!r} is not defined")
+    plan = configuration.route_by_name[route]
+    name = plan.stable
+    move = configuration.move_by_route.get(route)
+    if move is not None and move.new in plan.version_by_name:
+        share = traffic_share(move)
+        if ticket % SHARE_STEPS < share * SHARE_STEPS:
+            name = move.new
+    version = plan.version_by_name[name]
+    return Pinned(Snapshot(version.name, version.partition), version.services)
+
+
+def live_versions(configuration: Configuration, service: str) -> set[str]:
+    """Return the versions that some route may read from a service."""
+    return {
+        version.name
+        for route in configuration.route_by_name.values()
+        for version in route.version_by_name.values()
+        if service in version.services
+    }
+
+
+def serving_upstreams(
+    configuration: Configuration, service: str, version: str
+) -> list[Upstream]:
+    """Return the upstreams that may get new work.
+
+    Args:
+        configuration: Configuration in force.
+        service: Name of a service.
+        version: Index version.
+
+    Returns:
+        Upstreams of the version that are serving, in a zone that is in and
+        that serves the service.
+    """
+    plan = configuration.service_by_name.get(service)
+    if plan is None:
+        return []
+    return [
+        upstream
+        for upstream in plan.upstream_by_id.values()
+        if upstream.version == version
+        and upstream.state is UpstreamState.SERVING
+        and (not plan.zones or upstream.zone in plan.zones)
+        and configuration.zone_by_name[upstream.zone].state is ZoneState.IN
+    ]
--- /dev/null
+++ b/berylspool/version/pool.py
@@ -0,0 +1,182 @@
+"""The pool task: it owns a pool's state and the tasks of its connections."""
+
+import asyncio
+from collections.abc import Callable
+
+from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.upstream import (
+    Cancel,
+    Shut,
+    UpstreamConnection,
+    UpstreamWatch,
+)
+from berylspool.connection.wire import attempt_name
+from berylspool.process.event import (
+    Event,
+    PartChosen,
+    RequestBlamed,
+    SilentReplaced,
+)
+from berylspool.request.query import PartResult
+from berylspool.version.admission import next_wake, step
+from berylspool.version.configuration import Upstream
+from berylspool.version.pool_message import (
+    Blame,
+    CancelAttempt,
+    Chosen,
+    Connect,
+    Disconnect,
+    Observed,
+    PoolAction,
+    PoolEvent,
+    Reply,
+    Send,
+    Silent,
+    Woken,
+)
+from berylspool.version.pool_state import Pool, Tuning
+
+__all__ = ["PoolTask"]
+
+
+class PoolTask:
+    """Task that owns one pool.
+
+    Args:
+        service: Name of the service.
+        version: Index version.
+        tuning: Settings of all pools.
+        reply: Takes each result.
+        blame: Takes each blame.
+        drained: Called once when a closing pool has nothing left.
+        observed: Takes what the judgement of versions counts.
+        log: Takes log events.
+        clock: Monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        service: str,
+        version: str,
+        tuning: Tuning,
+        *,
+        reply: Callable[[PartResult], None],
+        blame: Callable[[Blame], None],
+        drained: Callable[[], None],
+        observed: Callable[[Observed], None],
+        log: Callable[[Event], None],
+        clock: Callable[[], float],
+    ) -> None:
+        self.inbox: Mailbox[PoolEvent] = Mailbox()
+        self.pool = Pool(service, version, tuning)
+        self._reply = reply
+        self._blame = blame
+        self._drained = drained
+        self._observed = observed
+        self._log = log
+        self._clock = clock
+        self._connection_by_id: dict[int, UpstreamConnection] = {}
+        self._watch_by_upstream: dict[str, UpstreamWatch] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Serve the inbox until the task is cancelled or has drained."""
+        try:
+            while not self._has_drained():
+                pause_s = next_wake(self.pool, self._clock())
+                events = await self.inbox.take(pause_s) or [Woken()]
+                for event in events:
+                    for action in step(self.pool, event, self._clock()):
+                        self._perform(action)
+                self._match_watches()
+        finally:
+            self._shut_all()
+        self._drained()
+
+    def _has_drained(self) -> bool:
+        return (
+            self.pool.is_closing
+            and not self.pool.job_by_part
+            and not self.pool.attempt_by_id
+            and not self.inbox
+        )
+
+    def _perform(self, action: PoolAction) -> None:
+        match action:
+            case Send():
+                self._connection_by_id[action.connection_id].inbox.put(action)
+            case Reply(result=result):
+                self._reply(result)
+            case Connect(connection_id=connection_id, upstream=upstream):
+                self._connect(connection_id, upstream)
+            case Disconnect(connection_id=connection_id):
+                connection = self._connection_by_id.get(connection_id)
+                if connection is not None:
+                    connection.inbox.put(Shut())
+            case CancelAttempt():
+                self._cancel(action)
+            case Chosen():
+                self._log_chosen(action)
+            case Silent():
+                self._log(
+                    SilentReplaced(
+                        action.upstream_id, action.connection_id, action.age_s
+                    )
+                )
+            case Blame():
+                self._blame(action)
+                self._log(
+                    RequestBlamed(
+                        action.fingerprint, action.upstream_id, action.verdict
+                    )
+                )
+            case Observed():
+                self._observed(action)
+
+    def _log_chosen(self, action: Chosen) -> None:
+        self._log(
+            PartChosen(
+                action.part.id,
+                action.part.service,
+                action.part.snapshot.version,
+                action.upstream_id,
+                action.sends,
+                action.is_hedge,
+            )
+        )
+
+    def _connect(self, connection_id: int, upstream: Upstream) -> None:
+        connection = UpstreamConnection(connection_id, upstream, self.inbox)
+        self._connection_by_id[connection_id] = connection
+        task = self._spawn(connection.run())
+        task.add_done_callback(
+            lambda _: self._connection_by_id.pop(connection_id, None)
+        )
+
+    def _spawn(self, coroutine) -> asyncio.Task[None]:  # noqa: ANN001
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _cancel(self, action: CancelAttempt) -> None:
+        watch = self._watch_by_upstream.get(action.upstream_id)
+        if watch is not None:
+            name = attempt_name(action.part_id, action.attempt_id)
+            watch.inbox.put(Cancel(name))
+
+    def _match_watches(self) -> None:
+        """Watch exactly the upstreams that the pool knows."""
+        known = self.pool.view_by_upstream
+        for upstream_id in self._watch_by_upstream.keys() - known.keys():
+            self._watch_by_upstream.pop(upstream_id).inbox.put(Shut())
+        for upstream_id in known.keys() - self._watch_by_upstream.keys():
+            watch = UpstreamWatch(known[upstream_id].upstream, self.inbox)
+            self._watch_by_upstream[upstream_id] = watch
+            self._spawn(watch.run())
+
+    def _shut_all(self) -> None:
+        for connection in self._connection_by_id.values():
+            connection.inbox.put(Shut())
+        for watch in self._watch_by_upstream.values():
+            watch.inbox.put(Shut())
--- /dev/null
+++ b/berylspool/version/pool_message.py
@@ -0,0 +1,256 @@
+"""Events and actions of a pool."""
+
+import enum
+from dataclasses import dataclass
+from typing import Any
+
+from berylspool.request.query import Part, PartResult, Reason, Snapshot
+from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.suspicion import Verdict
+
+__all__ = [
+    "AttemptAnswered",
+    "Blame",
+    "Blamed",
+    "CancelAttempt",
+    "Chosen",
+    "Closing",
+    "Connect",
+    "ConnectionClosed",
+    "ConnectionOpened",
+    "Disconnect",
+    "ErrorReply",
+    "HealthReported",
+    "NotRunReply",
+    "Observed",
+    "PartArrived",
+    "PartCancelled",
+    "PoolAction",
+    "PoolEvent",
+    "Reconfigured",
+    "Reply",
+    "RowsReply",
+    "Send",
+    "Silent",
+    "TimerKind",
+    "UpstreamReply",
+    "Woken",
+]
+
+
+class TimerKind(enum.IntEnum):
+    """What a timer of a pool is for."""
+
+    DEADLINE = 0
+    HEDGE = 1
+    RETRY = 2
+    SILENT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class RowsReply:
+    """An upstream answered in full."""
+
+    snapshot: Snapshot
+    rows: tuple[Any, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class NotRunReply:
+    """An upstream refused and says that nothing ran."""
+
+    reason: Reason
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorReply:
+    """An upstream failed, or its answer is not whole."""
+
+    reason: Reason
+
+
+UpstreamReply = RowsReply | NotRunReply | ErrorReply
+
+
+@dataclass(frozen=True, slots=True)
+class PartArrived:
+    """An entry asks for a part."""
+
+    part: Part
+
+
+@dataclass(frozen=True, slots=True)
+class PartCancelled:
+    """An entry no longer wants a part."""
+
+    part_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionOpened:
+    """A connection is open and its upstream named its instance."""
+
+    connection_id: int
+    upstream_id: str
+    instance: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionClosed:
+    """A connection is closed, by either end, or never opened."""
+
+    connection_id: int
+    upstream_id: str
+    attempt_id: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptAnswered:
+    """An upstream answered an attempt."""
+
+    connection_id: int
+    attempt_id: int
+    instance: str
+    load: float
+    reply: UpstreamReply
+
+
+@dataclass(frozen=True, slots=True)
+class HealthReported:
+    """An upstream's health endpoint answered."""
+
+    upstream_id: str
+    instance: str
+    is_draining: bool
+    load: float
+
+
+@dataclass(frozen=True, slots=True)
+class Blamed:
+    """Another pool holds a verdict against a fingerprint."""
+
+    fingerprint: str
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class Reconfigured:
+    """The upstreams that may get new work have changed."""
+
+    upstreams: tuple[Upstream, ...]
+    limits: Limits = Limits()
+
+
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The pool hands its service over or the process shuts down."""
+
+
+@dataclass(frozen=True, slots=True)
+class Woken:
+    """Time has passed."""
+
+
+PoolEvent = (
+    PartArrived
+    | PartCancelled
+    | ConnectionOpened
+    | ConnectionClosed
+    | AttemptAnswered
+    | HealthReported
+    | Blamed
+    | Reconfigured
+    | Closing
+    | Woken
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Send a part's result to the entry that asked."""
+
+    result: PartResult
+
+
+@dataclass(frozen=True, slots=True)
+class Connect:
+    """Open a connection."""
+
+    connection_id: int
+    upstream: Upstream
+
+
+@dataclass(frozen=True, slots=True)
+class Disconnect:
+    """Close a connection."""
+
+    connection_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send one copy of a part on an idle connection."""
+
+    connection_id: int
+    attempt_id: int
+    part: Part
+    timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    """Tell an upstream that an attempt's answer is no longer wanted."""
+
+    upstream_id: str
+    part_id: str
+    attempt_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class Blame:
+    """Tell the other pools of an upstream lost under a fingerprint."""
+
+    fingerprint: str
+    upstream_id: str
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class Chosen:
+    """Log that an upstream was chosen for a copy."""
+
+    part: Part
+    upstream_id: str
+    sends: int
+    is_hedge: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Silent:
+    """Log that a silent connection is replaced."""
+
+    upstream_id: str
+    connection_id: int
+    age_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Observed:
+    """Count an upstream's reply for the judgement of its version."""
+
+    part: Part
+    reply: UpstreamReply
+    latency_s: float
+
+
+PoolAction = (
+    Reply
+    | Connect
+    | Disconnect
+    | Send
+    | CancelAttempt
+    | Blame
+    | Chosen
+    | Silent
+    | Observed
+)
--- /dev/null
+++ b/berylspool/version/pool_state.py
@@ -0,0 +1,208 @@
+"""State of one pool, and the changes that its decisions share."""
+
+import heapq
+from dataclasses import dataclass, field
+
+from berylspool.request.query import (
+    Part,
+    PartFailed,
+    PartRefused,
+    PartResult,
+    Reason,
+)
+from berylspool.version.pool_message import (
+    CancelAttempt,
+    PoolAction,
+    Reply,
+    TimerKind,
+)
+from berylspool.version.suspicion import Suspicion, is_convicted
+from berylspool.version.tail import Budget, HedgeDelay
+from berylspool.version.upstream_view import (
+    Choice,
+    ConnectionState,
+    UpstreamView,
+)
+
+__all__ = [
+    "Attempt",
+    "Job",
+    "Pool",
+    "Tuning",
+    "end_attempt",
+    "enqueue",
+    "fail",
+    "resolve",
+    "retry_after_s",
+    "set_timer",
+]
+
+FIRST_MEAN_S = 0.005
+FIRST_HEDGE_DELAY_S = 0.05
+MOST_TOKENS = 10.0
+SHORTEST_RETRY_AFTER_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Tuning:
+    """Settings of all pools of a process.
+
+    Attributes:
+        choice: How an upstream is chosen.
+        hedges: Most hedges of one part.
+        hedge_percentile: Percentile that the hedge delay follows.
+        extra_ratio: Extra copies allowed for each first copy.
+        queue_limit: Most parts that wait in one pool.
+        silent_s: Age of the oldest owed answer at which a connection is
+            taken for silent, in seconds.
+        wait_share: Share of a part's time that it may be expected to wait.
+    """
+
+    choice: Choice
+    hedges: int = 2
+    hedge_percentile: float = 96.0
+    extra_ratio: float = 0.05
+    queue_limit: int = 256
+    silent_s: float = 1.0
+    wait_share: float = 0.7
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One copy of a part at an upstream."""
+
+    id: int
+    part_id: str
+    upstream_id: str
+    connection_id: int
+    sent_at: float
+    is_cancelled: bool = False
+    is_alone: bool = False
+
+
+@dataclass(slots=True)
+class Job:
+    """A part that has no result yet."""
+
+    part: Part
+    deadline: float
+    arrived_at: float
+    attempt_by_id: dict[int, Attempt] = field(default_factory=dict)
+    tried: set[str] = field(default_factory=set)
+    sends: int = 0
+    hedges: int = 0
+    queued: int = 0
+    has_run: bool = False
+    warm_only: bool = False
+    last_reason: Reason = Reason.NO_UPSTREAM
+
+
+@dataclass(slots=True)
+class Pool:
+    """State of one pool.
+
+    Attributes:
+        service: Name of the service.
+        version: Index version of its upstreams.
+        tuning: Settings.
+        view_by_upstream: What is known of each upstream.
+        job_by_part: Parts without a result.
+        attempt_by_id: Attempts in flight, cancelled ones included.
+        waiting: Heap of (is hedge, request age key, serial, part id).
+        timers: Heap of (moment, serial, part id, kind).
+        suspicion: Requests blamed for lost upstreams.
+        is_closing: Whether the pool takes no new parts.
+    """
+
+    service: str
+    version: str
+    tuning: Tuning
+    view_by_upstream: dict[str, UpstreamView] = field(default_factory=dict)
+    job_by_part: dict[str, Job] = field(default_factory=dict)
+    attempt_by_id: dict[int, Attempt] = field(default_factory=dict)
+    waiting: list[tuple[int, float, int, str]] = field(default_factory=list)
+    timers: list[tuple[float, int, str, TimerKind]] = field(
+        default_factory=list
+    )
+    suspicion: Suspicion = field(default_factory=Suspicion)
+    is_closing: bool = False
+    serial: int = 0
+    mean_s: float = FIRST_MEAN_S
+    budget: Budget = field(init=False)
+    delay: HedgeDelay = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.budget = Budget(self.tuning.extra_ratio, MOST_TOKENS, MOST_TOKENS)
+        self.delay = HedgeDelay(
+            self.tuning.hedge_percentile, FIRST_HEDGE_DELAY_S
+        )
+
+    def next_serial(self) -> int:
+        """Return the next number of this pool."""
+        self.serial += 1
+        return self.serial
+
+
+def enqueue(pool: Pool, job: Job, is_hedge: bool) -> None:
+    """Put a part into the queue."""
+    job.queued += 1
+    entry = (int(is_hedge), job.deadline, pool.next_serial(), job.part.id)
+    heapq.heappush(pool.waiting, entry)
+
+
+def set_timer(pool: Pool, moment: float, part_id: str, kind: TimerKind) -> None:
+    """Set a timer; the id is a part's, or an attempt's for `SILENT`."""
+    entry = (moment, pool.next_serial(), part_id, kind)
+    heapq.heappush(pool.timers, entry)
+
+
+def end_attempt(pool: Pool, attempt_id: int | None) -> Attempt | None:
+    """Forget an attempt and free its slot and its connection."""
+    if attempt_id is None:
+        return None
+    attempt = pool.attempt_by_id.pop(attempt_id, None)
+    if attempt is None:
+        return None
+    view = pool.view_by_upstream.get(attempt.upstream_id)
+    if view is not None:
+        view.in_flight -= 1
+        if view.reserved_for == attempt.part_id:
+            view.reserved_for = None
+        connection = view.connection_by_id.get(attempt.connection_id)
+        if connection and connection.state is ConnectionState.BUSY:
+            connection.state = ConnectionState.IDLE
+            connection.attempt_id = None
+    job = pool.job_by_part.get(attempt.part_id)
+    if job is not None:
+        job.attempt_by_id.pop(attempt_id, None)
+    return attempt
+
+
+def resolve(pool: Pool, job: Job, result: PartResult) -> list[PoolAction]:
+    """Reply once and cancel the copies that are still in flight."""
+    actions: list[PoolAction] = [Reply(result)]
+    del pool.job_by_part[job.part.id]
+    for attempt in job.attempt_by_id.values():
+        attempt.is_cancelled = True
+        actions.append(
+            CancelAttempt(attempt.upstream_id, attempt.part_id, attempt.id)
+        )
+    return actions
+
+
+def fail(pool: Pool, job: Job, reason: Reason) -> list[PoolAction]:
+    """Give a part up; refuse it if that is still true."""
+    if is_convicted(pool.suspicion, job.part.fingerprint):
+        reason = Reason.QUARANTINED
+    is_untouched = not job.has_run and not job.attempt_by_id
+    result: PartResult
+    if is_untouched:
+        result = PartRefused(job.part.id, reason, retry_after_s(pool))
+    else:
+        result = PartFailed(job.part.id, reason, job.sends)
+    return resolve(pool, job, result)
+
+
+def retry_after_s(pool: Pool) -> float:
+    """Return the earliest useful retry, in seconds."""
+    return max(pool.mean_s, SHORTEST_RETRY_AFTER_S)
--- /dev/null
+++ b/berylspool/version/schema.py
@@ -0,0 +1,121 @@
+"""Validated models of the configuration as it is written in YAML."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from berylspool.version.configuration import (
+    Configuration,
+    Limits,
+    Route,
+    Service,
+    Upstream,
+    Version,
+    Zone,
+    check,
+)
+
+__all__ = ["ConfigurationModel", "to_configuration"]
+
+ADDRESS_PATTERN = r"^[0-9.]+:\d{1,5}$"
+NAME_PATTERN = r"^[A-Za-z][A-Za-z0-9_.-]{0,63}$"
+
+
+class StrictModel(BaseModel):
+    """Base of all models: unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid")
+
+
+class LimitsModel(StrictModel):
+    """What one upstream bears."""
+
+    slots: int = Field(3, ge=1, le=10_000)
+    connections: int = Field(30, ge=2, le=100_000)
+    cold_slots: int = Field(1, ge=1)
+    ramp_s: float = Field(4.0, ge=0)
+
+
+class UpstreamModel(StrictModel):
+    """One back end."""
+
+    address: str = Field(pattern=ADDRESS_PATTERN)
+    zone: str
+    version: str
+
+
+class ServiceModel(StrictModel):
+    """A service and its upstreams."""
+
+    zones: list[str] = []
+    limits: LimitsModel = LimitsModel()
+    upstreams: dict[str, UpstreamModel] = {}
+
+
+class VersionModel(StrictModel):
+    """An index version and its partition map."""
+
+    partition: int = Field(1, ge=1)
+    services: list[str] = Field(min_length=1)
+
+
+class RouteModel(StrictModel):
+    """A route."""
+
+    stable: str
+    versions: dict[str, VersionModel] = Field(min_length=1)
+
+
+class ConfigurationModel(StrictModel):
+    """A whole configuration."""
+
+    zones: list[str] = []
+    services: dict[str, ServiceModel] = {}
+    routes: dict[str, RouteModel] = {}
+
+
+def to_configuration(model: ConfigurationModel) -> Configuration:
+    """Convert a validated model to the configuration used inside.
+
+    Args:
+        model: Model read from YAML.
+
+    Returns:
+        The configuration at revision 1.
+
+    Raises:
+        ConfigurationError: A name does not resolve.
+    """
+    configuration = Configuration(
+        revision=1,
+        zone_by_name={name: Zone(name) for name in model.zones},
+        service_by_name={
+            name: _service(name, service)
+            for name, service in model.services.items()
+        },
+        route_by_name={
+            name: _route(name, route) for name, route in model.routes.items()
+        },
+    )
+    check(configuration)
+    return configuration
+
+
+def _service(name: str, model: ServiceModel) -> Service:
+    return Service(
+        name,
+        tuple(model.zones),
+        Limits(**model.limits.model_dump()),
+        {id: _upstream(id, item) for id, item in model.upstreams.items()},
+    )
+
+
+def _upstream(id: str, model: UpstreamModel) -> Upstream:
+    host, _, port = model.address.rpartition(":")
+    return Upstream(id, host, int(port), model.zone, model.version)
+
+
+def _route(name: str, model: RouteModel) -> Route:
+    versions = {
+        version: Version(version, item.partition, tuple(item.services))
+        for version, item in model.versions.items()
+    }
+    return Route(name, model.stable, versions)
--- /dev/null
+++ b/berylspool/version/tail.py
@@ -0,0 +1,94 @@
+"""Hedges: when to send a second copy, and how many are affordable.
+
+The delay is a quantile of recent answers of the same service, so about one
+part in twenty-five waits long enough to be hedged.  A budget that grows with
+first copies stops hedging by itself when everything is slow.  References:
+Dean and Barroso, "The Tail at Scale", CACM 56(2), 2013; retry budgets as in
+Finagle.
+"""
+
+from dataclasses import dataclass, field
+
+from hdrh.histogram import HdrHistogram
+
+__all__ = ["Budget", "HedgeDelay", "deposit", "observe", "withdraw"]
+
+MICROSECONDS_PER_SECOND = 1_000_000
+LONGEST_US = 60 * MICROSECONDS_PER_SECOND
+SIGNIFICANT_DIGITS = 2
+WINDOW_SAMPLES = 250
+FIRST_WINDOW_SAMPLES = 50
+
+
+@dataclass(slots=True)
+class Budget:
+    """Tokens that extra copies cost.
+
+    Attributes:
+        ratio: Tokens gained by each first copy.
+        most: Largest balance.
+        tokens: Balance.
+    """
+
+    ratio: float
+    most: float
+    tokens: float
+
+
+def deposit(budget: Budget) -> None:
+    """Gain the share of one first copy."""
+    budget.tokens = min(budget.most, budget.tokens + budget.ratio)
+
+
+def withdraw(budget: Budget) -> bool:
+    """Pay for one extra copy.
+
+    Returns:
+        False if the balance is too low; nothing is paid then.
+
+    Examples:
+        >>> budget = Budget(ratio=0.5, most=2.0, tokens=1.0)
+        >>> withdraw(budget), withdraw(budget)
+        (True, False)
+    """
+    if budget.tokens < 1.0:
+        return False
+    budget.tokens -= 1.0
+    return True
+
+
+def _histogram() -> HdrHistogram:
+    return HdrHistogram(1, LONGEST_US, SIGNIFICANT_DIGITS)
+
+
+@dataclass(slots=True)
+class HedgeDelay:
+    """Learns the hedge delay of one service.
+
+    Attributes:
+        percentile: Percentile of answer times that the delay follows.
+        delay_s: Delay in seconds; the start value until enough is known.
+        window: Answer times of the running window, in microseconds.
+    """
+
+    percentile: float
+    delay_s: float
+    window: HdrHistogram = field(default_factory=_histogram)
+    needed: int = FIRST_WINDOW_SAMPLES
+
+
+def observe(delay: HedgeDelay, latency_s: float) -> None:
+    """Add one answer time; every full window sets the delay anew.
+
+    Args:
+        delay: Learner to update.
+        latency_s: Time from send to answer, in seconds.
+    """
+    delay.window.record_value(
+        max(1, min(LONGEST_US, int(latency_s * MICROSECONDS_PER_SECOND)))
+    )
+    if delay.window.total_count >= delay.needed:
+        learnt = delay.window.get_value_at_percentile(delay.percentile)
+        delay.delay_s = learnt / MICROSECONDS_PER_SECOND
+        delay.window.reset()
+        delay.needed = WINDOW_SAMPLES
--- /dev/null
+++ b/berylspool/version/tests/test_admission.py
@@ -0,0 +1,413 @@
+"""Stateful fuzzing of a pool against an oracle of what upstreams saw."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from berylspool.request.query import (
+    Part,
+    PartFailed,
+    PartRefused,
+    PartRows,
+    Reason,
+    Snapshot,
+)
+from berylspool.version.admission import step
+from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.pool_message import (
+    AttemptAnswered,
+    Blamed,
+    CancelAttempt,
+    Closing,
+    Connect,
+    ConnectionClosed,
+    ConnectionOpened,
+    Disconnect,
+    ErrorReply,
+    NotRunReply,
+    PartArrived,
+    PartCancelled,
+    Reconfigured,
+    Reply,
+    RowsReply,
+    Send,
+    UpstreamReply,
+    Woken,
+)
+from berylspool.version.pool_state import Pool, Tuning
+from berylspool.version.suspicion import Verdict
+from berylspool.version.upstream_view import ZoneAware
+
+SNAPSHOT = Snapshot("v1", 1)
+LIMITS = Limits(slots=3, connections=6, cold_slots=1, ramp_s=2.0)
+UPSTREAMS = tuple(
+    Upstream(f"u{i}", "127.0.0.1", 1, f"z{i}", "v1") for i in range(2)
+)
+TUNING = Tuning(ZoneAware("z0", 0.001), queue_limit=8, silent_s=1.5)
+
+
+def make_part(number, idempotent, fingerprint="f", timeout_s=1.0):
+    return Part(
+        id=f"p{number}",
+        request_id=f"r{number}",
+        service="s",
+        shard=0,
+        snapshot=SNAPSHOT,
+        body="{}",
+        timeout_s=timeout_s,
+        fingerprint=fingerprint,
+        idempotent=idempotent,
+        route="r",
+    )
+
+
+class FakeUpstream:
+    """What one upstream really is, unseen by the pool."""
+
+    def __init__(self):
+        self.instance = 0
+        self.first_answer_at = None
+
+    def bears(self, now):
+        if self.first_answer_at is None:
+            return LIMITS.cold_slots
+        share = (now - self.first_answer_at) / LIMITS.ramp_s
+        gained = int(share * (LIMITS.slots - LIMITS.cold_slots))
+        return min(LIMITS.slots, LIMITS.cold_slots + gained)
+
+
+class FakeConnection:
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.instance = None
+        self.attempt = None
+        self.is_closing = False
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Drives a pool; the oracle keeps what was sent, answered and replied."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.pool = Pool("s", "v1", TUNING)
+        self.fake_by_id = {u.id: FakeUpstream() for u in UPSTREAMS}
+        self.serving = set()
+        self.connection_by_id = {}
+        self.part_by_attempt = {}
+        self.part_by_id = {}
+        self.reply_by_part = {}
+        self.runs_by_part = {}
+        self.withdrawn = set()
+        self.feed(Reconfigured(UPSTREAMS, LIMITS))
+
+    def feed(self, event):
+        if isinstance(event, Reconfigured):
+            self.serving = {u.id for u in event.upstreams}
+        for action in step(self.pool, event, self.now):
+            self.perform(action)
+
+    def perform(self, action):
+        match action:
+            case Connect(connection_id=number, upstream=upstream):
+                self.connection_by_id[number] = FakeConnection(upstream.id)
+                live = [
+                    c
+                    for c in self.connection_by_id.values()
+                    if c.upstream == upstream.id
+                ]
+                assert len(live) <= LIMITS.connections
+            case Disconnect(connection_id=number):
+                self.connection_by_id[number].is_closing = True
+            case Send():
+                self.on_send(action)
+            case Reply(result=result):
+                assert result.part_id not in self.reply_by_part
+                self.reply_by_part[result.part_id] = result
+                if isinstance(result, PartRefused):
+                    assert not self.runs_by_part.get(result.part_id)
+
+    def on_send(self, action):
+        connection = self.connection_by_id[action.connection_id]
+        fake = self.fake_by_id[connection.upstream]
+        part = action.part
+        assert connection.attempt is None and not connection.is_closing
+        assert connection.upstream in self.serving
+        assert part.id not in self.reply_by_part
+        connection.attempt = action.attempt_id
+        self.part_by_attempt[action.attempt_id] = part
+        running = [
+            c
+            for c in self.connection_by_id.values()
+            if c.upstream == connection.upstream
+            and c.attempt is not None
+            and c.instance == fake.instance
+        ]
+        assert len(running) <= fake.bears(self.now)
+        runs = self.runs_by_part.get(part.id, 0)
+        assert part.idempotent or runs == 0
+        self.runs_by_part[part.id] = runs + 1
+
+    @rule(
+        idempotent=st.booleans(),
+        fingerprint=st.sampled_from("fgh"),
+        timeout_s=st.sampled_from([0.1, 1.0, 3.0]),
+    )
+    def part_arrives(self, idempotent, fingerprint, timeout_s):
+        number = len(self.part_by_id)
+        part = make_part(number, idempotent, fingerprint, timeout_s)
+        self.part_by_id[part.id] = (part, self.now + timeout_s)
+        self.feed(PartArrived(part))
+
+    @rule(pick=st.randoms(use_true_random=False))
+    def connections_open(self, pick):
+        for number, connection in list(self.connection_by_id.items()):
+            if connection.instance is None and pick.random() < 0.7:
+                instance = self.fake_by_id[connection.upstream].instance
+                connection.instance = instance
+                self.feed(
+                    ConnectionOpened(
+                        number, connection.upstream, f"i{instance}"
+                    )
+                )
+
+    def close(self, number):
+        connection = self.connection_by_id.pop(number)
+        self.feed(ConnectionClosed(number, connection.upstream))
+
+    @rule(pick=st.randoms(use_true_random=False))
+    def connection_closes(self, pick):
+        if self.connection_by_id:
+            self.close(pick.choice(sorted(self.connection_by_id)))
+
+    @rule(upstream=st.sampled_from([u.id for u in UPSTREAMS]))
+    def upstream_restarts(self, upstream):
+        fake = self.fake_by_id[upstream]
+        fake.instance += 1
+        fake.first_answer_at = None
+        lost = [
+            number
+            for number, c in self.connection_by_id.items()
+            if c.upstream == upstream and c.instance is not None
+        ]
+        for number in lost:
+            self.close(number)
+
+    @rule(
+        pick=st.randoms(use_true_random=False),
+        kind=st.sampled_from(["rows", "rows", "rows", "shed", "cold", "error"]),
+    )
+    def attempt_ends(self, pick, kind):
+        busy = [
+            number
+            for number, c in sorted(self.connection_by_id.items())
+            if c.attempt is not None
+        ]
+        if not busy:
+            return
+        number = pick.choice(busy)
+        connection = self.connection_by_id[number]
+        attempt, connection.attempt = connection.attempt, None
+        part = self.part_by_attempt.pop(attempt)
+        fake = self.fake_by_id[connection.upstream]
+        reply: UpstreamReply
+        match kind:
+            case "rows":
+                reply = RowsReply(SNAPSHOT, (part.id,))
+                if fake.first_answer_at is None:
+                    fake.first_answer_at = self.now
+            case "error":
+                reply = ErrorReply(Reason.UPSTREAM_ERROR)
+            case "shed":
+                reply = NotRunReply(Reason.OVERLOAD)
+                self.runs_by_part[part.id] -= 1
+            case "cold":
+                reply = NotRunReply(Reason.COLD)
+                fake.first_answer_at = None
+                self.runs_by_part[part.id] -= 1
+        instance = f"i{connection.instance}"
+        self.feed(AttemptAnswered(number, attempt, instance, 0.5, reply))
+
+    @rule(step_s=st.sampled_from([0.01, 0.06, 0.3, 1.0, 2.0]))
+    def time_passes(self, step_s):
+        self.now += step_s
+        self.feed(Woken())
+
+    @rule(pick=st.randoms(use_true_random=False))
+    def part_is_cancelled(self, pick):
+        if self.part_by_id:
+            part_id = pick.choice(sorted(self.part_by_id))
+            if self.part_by_id[part_id][0].idempotent:
+                self.withdrawn.add(part_id)
+            self.feed(PartCancelled(part_id))
+
+    @rule(count=st.integers(0, 2))
+    def zone_changes(self, count):
+        self.feed(Reconfigured(UPSTREAMS[:count], LIMITS))
+
+    @rule(fingerprint=st.sampled_from("gh"), verdict=st.sampled_from(Verdict))
+    def peer_blames(self, fingerprint, verdict):
+        self.feed(Blamed(fingerprint, verdict))
+
+    @invariant()
+    def every_part_is_answered_by_its_deadline(self):
+        for part_id, (_, deadline) in self.part_by_id.items():
+            if self.now > deadline + 1e-6 and part_id not in self.withdrawn:
+                assert part_id in self.reply_by_part
+
+    @invariant()
+    def rows_belong_to_their_part(self):
+        for part_id, result in self.reply_by_part.items():
+            if isinstance(result, PartRows):
+                assert result.rows == (part_id,)
+
+
+TestPool = PoolMachine.TestCase
+TestPool.settings = settings(
+    max_examples=60, stateful_step_count=60, deadline=None, derandomize=True
+)
+
+
+def open_all(pool, actions, now=0.0):
+    """Open every connection that the pool asks for, on instance `i0`."""
+    while any(isinstance(a, Connect) for a in actions):
+        more = []
+        for a in actions:
+            if isinstance(a, Connect):
+                opened = ConnectionOpened(a.connection_id, a.upstream.id, "i0")
+                more += step(pool, opened, now)
+        actions = more
+
+
+def warm_pool(**changes):
+    pool = Pool("s", "v1", Tuning(ZoneAware("z0", 0.001), **changes))
+    open_all(pool, step(pool, Reconfigured(UPSTREAMS, LIMITS), 0.0))
+    for view in pool.view_by_upstream.values():
+        view.ramp.first_answer_at = -10.0
+    return pool
+
+
+def sends_of(actions):
+    return [a for a in actions if isinstance(a, Send)]
+
+
+def results_of(actions):
+    return [a.result for a in actions if isinstance(a, Reply)]
+
+
+def upstream_of(pool, send):
+    return next(
+        view.upstream.id
+        for view in pool.view_by_upstream.values()
+        if send.connection_id in view.connection_by_id
+    )
+
+
+def answer(pool, send, now):
+    reply = RowsReply(SNAPSHOT, (1,))
+    event = AttemptAnswered(
+        send.connection_id, send.attempt_id, "i0", 0.0, reply
+    )
+    return step(pool, event, now)
+
+
+def crash(pool, upstream, now):
+    view = pool.view_by_upstream[upstream]
+    actions = []
+    for number in list(view.connection_by_id):
+        actions += step(pool, ConnectionClosed(number, upstream), now)
+    return actions
+
+
+def test_straggler_is_hedged_on_the_other_upstream_and_loser_cancelled():
+    pool = warm_pool()
+    [first] = sends_of(step(pool, PartArrived(make_part(0, True)), 0.0))
+    [hedge] = sends_of(step(pool, Woken(), 0.06))
+    assert upstream_of(pool, first) != upstream_of(pool, hedge)
+    actions = answer(pool, hedge, 0.07)
+    [cancel] = [a for a in actions if isinstance(a, CancelAttempt)]
+    assert cancel.attempt_id == first.attempt_id
+
+
+def test_command_is_never_hedged_and_its_loss_is_not_a_refusal():
+    pool = warm_pool()
+    [first] = sends_of(step(pool, PartArrived(make_part(0, False)), 0.0))
+    assert not sends_of(step(pool, Woken(), 0.06))
+    actions = crash(pool, upstream_of(pool, first), 0.1)
+    [result] = results_of(actions)
+    assert isinstance(result, PartFailed)
+    assert not sends_of(step(pool, Woken(), 0.5))
+
+
+def test_query_of_death_costs_two_upstreams_and_spares_the_innocent():
+    pool = warm_pool()
+    [killer] = sends_of(
+        step(pool, PartArrived(make_part(0, True, "death")), 0.0)
+    )
+    sends = []
+    for number in range(1, 6):
+        part = make_part(number, True, f"innocent{number}")
+        sends += sends_of(step(pool, PartArrived(part), 0.0))
+    dead = upstream_of(pool, killer)
+    running = [s for s in sends if upstream_of(pool, s) != dead]
+    running += sends_of(crash(pool, dead, 0.01))
+    lost, answered, now = [dead], set(), 0.05
+    while len(lost) < 2:
+        running += sends_of(step(pool, Woken(), now))
+        if any(s.part.id == "p0" for s in running):
+            assert [s.part.id for s in running] == ["p0"]
+            lost.append(upstream_of(pool, running[0]))
+            crash(pool, lost[-1], now)
+            break
+        done, running = running, []
+        for send in done:
+            actions = answer(pool, send, now)
+            answered |= {result.part_id for result in results_of(actions)}
+            running += sends_of(actions)
+        now += 0.01
+        assert now < 1.0
+    assert lost[0] != lost[1]
+    [result] = results_of(
+        step(pool, PartArrived(make_part(9, True, "death")), now)
+    )
+    assert isinstance(result, PartRefused)
+    assert result.reason is Reason.QUARANTINED
+    assert "p0" not in answered and len(answered) >= 3
+
+
+def test_silent_connection_is_replaced_and_its_part_sent_again():
+    pool = warm_pool(silent_s=0.5, hedges=0)
+    part = make_part(0, True, timeout_s=2.0)
+    [first] = sends_of(step(pool, PartArrived(part), 0.0))
+    actions = step(pool, Woken(), 0.51) + step(pool, Woken(), 0.52)
+    closed = [a.connection_id for a in actions if isinstance(a, Disconnect)]
+    assert closed == [first.connection_id]
+    [again] = sends_of(actions)
+    assert again.part.id == "p0"
+
+
+def test_load_of_a_lost_upstream_does_not_reach_its_cold_twin():
+    pool = warm_pool()
+    for view in pool.view_by_upstream.values():
+        view.ramp.first_answer_at = None
+    sends, results = [], []
+    for number in range(400):
+        part = make_part(number, True, f"f{number}", timeout_s=0.2)
+        actions = step(pool, PartArrived(part), 0.0)
+        sends += sends_of(actions)
+        results += results_of(actions)
+    assert len(sends) == 2 * LIMITS.cold_slots
+    assert {type(r) for r in results} == {PartRefused}
+    assert {r.reason for r in results} == {Reason.COLD}
+
+
+def test_closing_pool_refuses_waiting_parts_and_finishes_sent_ones():
+    pool = warm_pool()
+    sends = []
+    for number in range(8):
+        part = make_part(number, True, f"f{number}")
+        sends += sends_of(step(pool, PartArrived(part), 0.0))
+    results = results_of(step(pool, Closing(), 0.001))
+    assert len(sends) == 6 and len(results) == 2
+    assert all(r.reason is Reason.SHUTTING_DOWN for r in results)
+    assert set(pool.job_by_part) == {s.part.id for s in sends}
--- /dev/null
+++ b/berylspool/version/upkeep.py
@@ -0,0 +1,125 @@
+"""Upkeep of a pool's upstreams and of the connections to them."""
+
+from berylspool.version.attempt import on_attempt_lost
+from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.pool_message import (
+    Connect,
+    ConnectionClosed,
+    ConnectionOpened,
+    Disconnect,
+    PoolAction,
+)
+from berylspool.version.pool_state import Pool
+from berylspool.version.ramp import doubt, on_instance
+from berylspool.version.upstream_view import (
+    ConnectionState,
+    ConnectionView,
+    UpstreamView,
+)
+
+__all__ = [
+    "drop_unused",
+    "on_closed",
+    "on_opened",
+    "open_connections",
+    "reconfigure",
+]
+
+FIRST_REOPEN_DELAY_S = 0.02
+LONGEST_REOPEN_DELAY_S = 1.0
+SPARE_CONNECTIONS = 1
+WATCH_CONNECTIONS = 1
+
+
+def on_opened(pool: Pool, event: ConnectionOpened) -> list[PoolAction]:
+    """Use a connection whose upstream has named its instance."""
+    view = pool.view_by_upstream.get(event.upstream_id)
+    if view is None:
+        return [Disconnect(event.connection_id)]
+    connection = view.connection_by_id.get(event.connection_id)
+    if connection is None:
+        return [Disconnect(event.connection_id)]
+    if on_instance(view.ramp, event.instance):
+        view.is_draining = False
+    if connection.state is ConnectionState.OPENING:
+        connection.state = ConnectionState.IDLE
+    view.reopen_delay_s = 0.0
+    return []
+
+
+def on_closed(
+    pool: Pool, event: ConnectionClosed, now: float
+) -> list[PoolAction]:
+    """Forget a connection and handle the attempt that it carried."""
+    view = pool.view_by_upstream.get(event.upstream_id)
+    if view is None:
+        return on_attempt_lost(pool, event.attempt_id, None, now)
+    connection = view.connection_by_id.pop(event.connection_id, None)
+    if connection is None:
+        return []
+    actions = on_attempt_lost(pool, connection.attempt_id, view, now)
+    if connection.state is not ConnectionState.RETIRED:
+        doubt(view.ramp)
+        view.reopen_delay_s = min(
+            max(view.reopen_delay_s * 2, FIRST_REOPEN_DELAY_S),
+            LONGEST_REOPEN_DELAY_S,
+        )
+        view.reopen_at = now + view.reopen_delay_s
+    return actions
+
+
+def reconfigure(
+    pool: Pool, upstreams: tuple[Upstream, ...], limits: Limits
+) -> list[PoolAction]:
+    """Take over the upstreams that may get new work."""
+    wanted = {upstream.id: upstream for upstream in upstreams}
+    for view in pool.view_by_upstream.values():
+        view.is_serving = view.upstream.id in wanted
+        view.limits = limits
+    for upstream in upstreams:
+        known = pool.view_by_upstream.get(upstream.id)
+        if known is None:
+            pool.view_by_upstream[upstream.id] = UpstreamView(upstream, limits)
+        else:
+            known.upstream = upstream
+    return drop_unused(pool)
+
+
+def drop_unused(pool: Pool) -> list[PoolAction]:
+    """Close and forget upstreams that get no new work."""
+    actions: list[PoolAction] = []
+    for view in list(pool.view_by_upstream.values()):
+        if view.is_serving:
+            continue
+        for connection in list(view.connection_by_id.values()):
+            if connection.state is ConnectionState.IDLE:
+                connection.state = ConnectionState.RETIRED
+                actions.append(Disconnect(connection.id))
+        if not view.connection_by_id and not view.in_flight:
+            del pool.view_by_upstream[view.upstream.id]
+    return actions
+
+
+def open_connections(pool: Pool, now: float) -> list[PoolAction]:
+    """Keep one connection for each slot, and a spare, within the limit."""
+    actions: list[PoolAction] = []
+    for view in pool.view_by_upstream.values():
+        if not view.is_serving or view.is_draining or pool.is_closing:
+            continue
+        live = sum(
+            connection.state is not ConnectionState.RETIRED
+            for connection in view.connection_by_id.values()
+        )
+        room = (
+            view.limits.connections
+            - WATCH_CONNECTIONS
+            - len(view.connection_by_id)
+        )
+        wanted = view.limits.slots + SPARE_CONNECTIONS - live
+        if now < view.reopen_at:
+            continue
+        for _ in range(min(wanted, room)):
+            connection = ConnectionView(pool.next_serial(), view.upstream.id)
+            view.connection_by_id[connection.id] = connection
+            actions.append(Connect(connection.id, view.upstream))
+    return actions
--- /dev/null
+++ b/berylspool/version/upstream_view.py
@@ -0,0 +1,196 @@
+"""What the owner of a service knows of each upstream, and how it chooses.
+
+The choice prefers short expected waits from the owner's own observations;
+reported load is used only to lower an upstream's rank, never to raise it.
+"""
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from berylspool.request.fingerprint import ticket
+from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.ramp import Ramp, allowed_slots, is_warm
+
+__all__ = [
+    "Choice",
+    "ConnectionState",
+    "ConnectionView",
+    "FewestInFlight",
+    "Random",
+    "UpstreamView",
+    "ZoneAware",
+    "choose",
+    "free_slots",
+    "idle_connection",
+]
+
+LATENCY_WEIGHT = 0.1
+FIRST_LATENCY_S = 0.005
+
+
+class ConnectionState(enum.Enum):
+    """Stage of a connection to an upstream."""
+
+    OPENING = enum.auto()
+    IDLE = enum.auto()
+    BUSY = enum.auto()
+    RETIRED = enum.auto()
+
+
+@dataclass(slots=True)
+class ConnectionView:
+    """One connection as its owner sees it.
+
+    Attributes:
+        id: Unique in the pool.
+        upstream_id: Upstream at the other end.
+        state: Stage.
+        attempt_id: Attempt that is in flight on it, if any.
+    """
+
+    id: int
+    upstream_id: str
+    state: ConnectionState = ConnectionState.OPENING
+    attempt_id: int | None = None
+
+
+@dataclass(slots=True)
+class UpstreamView:
+    """What the owner knows of one upstream.
+
+    Attributes:
+        upstream: Its configuration.
+        limits: What it bears.
+        ramp: What is known of its start.
+        connection_by_id: Open and opening connections.
+        in_flight: Attempts sent and not yet ended.
+        is_serving: Whether it may get new work by the configuration.
+        is_draining: Whether the upstream said that it drains.
+        reopen_at: No new connection before this moment, monotonic seconds.
+        reopen_delay_s: Delay before the next connection after a loss.
+        reserved_for: Part that runs alone on it, if any.
+        latency_s: Moving average of answer times in seconds.
+        reported_load: Last load it reported, from 0 to 1.
+    """
+
+    upstream: Upstream
+    limits: Limits
+    ramp: Ramp = field(default_factory=Ramp)
+    connection_by_id: dict[int, ConnectionView] = field(default_factory=dict)
+    in_flight: int = 0
+    is_serving: bool = True
+    is_draining: bool = False
+    reopen_at: float = 0.0
+    reopen_delay_s: float = 0.0
+    reserved_for: str | None = None
+    latency_s: float = FIRST_LATENCY_S
+    reported_load: float = 0.0
+
+    def observe(self, latency_s: float) -> None:
+        """Add one answer time in seconds to the moving average."""
+        self.latency_s += LATENCY_WEIGHT * (latency_s - self.latency_s)
+
+
+@dataclass(frozen=True, slots=True)
+class Random:
+    """Baseline: any upstream with a free slot."""
+
+
+@dataclass(frozen=True, slots=True)
+class FewestInFlight:
+    """Baseline: the upstream with the fewest attempts in flight."""
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneAware:
+    """Shortest expected wait, with a price on leaving the zone.
+
+    Attributes:
+        zone: Zone of the owner.
+        crossing_s: Price of another zone, in seconds.
+    """
+
+    zone: str
+    crossing_s: float
+
+
+Choice = Random | FewestInFlight | ZoneAware
+
+
+def free_slots(view: UpstreamView, now: float) -> int:
+    """Return how many more attempts the upstream may get now.
+
+    Args:
+        view: What is known of the upstream.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Zero or more; zero if it must get no new work.
+    """
+    if not view.is_serving or view.is_draining or view.reserved_for:
+        return 0
+    return max(0, allowed_slots(view.ramp, view.limits, now) - view.in_flight)
+
+
+def idle_connection(view: UpstreamView) -> ConnectionView | None:
+    """Return an idle connection to the upstream, or None."""
+    for connection in view.connection_by_id.values():
+        if connection.state is ConnectionState.IDLE:
+            return connection
+    return None
+
+
+def choose(
+    views: Iterable[UpstreamView],
+    choice: Choice,
+    part_id: str,
+    tried: frozenset[str],
+    warm_only: bool,
+    now: float,
+) -> UpstreamView | None:
+    """Choose the upstream for one attempt.
+
+    Args:
+        views: Upstreams of the pool.
+        choice: Policy to follow.
+        part_id: Part to send; breaks ties.
+        tried: Upstreams that the part was sent to before.
+        warm_only: Whether cold upstreams are excluded, as for retries
+            after a lost upstream.
+        now: Monotonic time in seconds.
+
+    Returns:
+        The chosen upstream, or None if none has a free slot, an idle
+        connection and was not tried.
+    """
+    candidates = [
+        view
+        for view in views
+        if view.upstream.id not in tried
+        and free_slots(view, now) > 0
+        and (not warm_only or is_warm(view.ramp, view.limits, now))
+        and idle_connection(view) is not None
+    ]
+    if not candidates:
+        return None
+
+    def tie(view: UpstreamView) -> int:
+        return ticket(part_id + view.upstream.id)
+
+    match choice:
+        case Random():
+            return min(candidates, key=tie)
+        case FewestInFlight():
+            return min(candidates, key=lambda v: (v.in_flight, tie(v)))
+        case ZoneAware(zone=zone, crossing_s=crossing_s):
+            return min(
+                candidates,
+                key=lambda v: (
+                    v.latency_s
+                    * (v.in_flight + 1)
+                    / allowed_slots(v.ramp, v.limits, now)
+                    + (0.0 if v.upstream.zone == zone else crossing_s),
+                    tie(v),
+                ),
+            )
--- /dev/null
+++ b/scripts/deployment.py
@@ -0,0 +1,150 @@
+"""Write the settings of an example deployment on loopback.
+
+Usage: python scripts/deployment.py trust|collective|demo > FILE
+"""
+
+import sys
+from dataclasses import dataclass
+
+import yaml
+
+
+@dataclass(frozen=True)
+class Shape:
+    """Sizes of a deployment, as its operators have stated them."""
+
+    zones: tuple[str, ...]
+    entries: int
+    controls: int
+    wide: dict[str, int]
+    wide_slots: int
+    wide_connections: int
+    narrow: dict[str, int]
+    narrow_slots: int
+    narrow_connections: int
+    port: int
+
+
+SHAPES = {
+    "trust": Shape(
+        ("leicester", "derby", "nottingham"),
+        8,
+        3,
+        {"pitch-lookup": 20, "complaints-desk": 30},
+        3,
+        30,
+        {"fee-notices": 10, "fair-calendar": 4},
+        3,
+        100,
+        21000,
+    ),
+    "collective": Shape(
+        ("khulna", "barisal", "jessore", "satkhira"),
+        8,
+        3,
+        {"door-check-in": 20, "booking": 30},
+        2,
+        25,
+        {"shift-scheduling": 4, "guest-messaging": 4},
+        4,
+        45,
+        23000,
+    ),
+    "demo": Shape(
+        ("leicester", "derby", "nottingham"),
+        3,
+        3,
+        {"pitch-lookup": 6},
+        3,
+        30,
+        {"fee-notices": 4},
+        3,
+        100,
+        25000,
+    ),
+}
+
+
+def address(port: int) -> str:
+    return f"127.0.0.1:{port}"
+
+
+def build(shape: Shape) -> dict:
+    port = shape.port
+    zones = shape.zones
+    entries, controls, services, routes = {}, {}, {}, {}
+    for i in range(shape.entries):
+        entries[f"entry-{i + 1}"] = {
+            "address": address(port + i),
+            "peer_address": address(port + 100 + i),
+            "zone": zones[i % len(zones)],
+        }
+    for i in range(shape.controls):
+        controls[f"control-{i + 1}"] = {
+            "address": address(port + 200 + i),
+            "admin_address": address(port + 300 + i),
+            "zone": zones[i % len(zones)],
+            "data_folder": f"var/control-{i + 1}",
+        }
+    port += 400
+    for route, count in shape.wide.items():
+        names = []
+        for i in range(count):
+            name = f"{route}-{i:02d}"
+            names.append(name)
+            upstreams = {}
+            for version in ("v1", "v2"):
+                for copy in "ab":
+                    zone = zones[(i + "ab".index(copy)) % len(zones)]
+                    upstreams[f"{name}-{version}-{copy}"] = {
+                        "address": address(port),
+                        "zone": zone,
+                        "version": version,
+                    }
+                    port += 1
+            services[name] = {
+                "limits": {
+                    "slots": shape.wide_slots,
+                    "connections": shape.wide_connections,
+                },
+                "upstreams": upstreams,
+            }
+        routes[route] = route_of(names)
+    for route, count in shape.narrow.items():
+        upstreams = {}
+        for version in ("v1", "v2"):
+            for i in range(count):
+                upstreams[f"{route}-{version}-{i:02d}"] = {
+                    "address": address(port),
+                    "zone": zones[i % len(zones)],
+                    "version": version,
+                }
+                port += 1
+        services[route] = {
+            "limits": {
+                "slots": shape.narrow_slots,
+                "connections": shape.narrow_connections,
+            },
+            "upstreams": upstreams,
+        }
+        routes[route] = route_of([route])
+    return {
+        "entries": entries,
+        "controls": controls,
+        "initial": {
+            "zones": list(zones),
+            "services": services,
+            "routes": routes,
+        },
+    }
+
+
+def route_of(names: list[str]) -> dict:
+    return {
+        "stable": "v1",
+        "versions": {"v1": {"partition": 1, "services": names}},
+    }
+
+
+if __name__ == "__main__":
+    yaml.safe_dump(build(SHAPES[sys.argv[1]]), sys.stdout, sort_keys=False)
