Hold a silent connection's slot until the connection is closed

Cause: the pool fuzzer found that replacing a silent connection freed its slot at once, while the upstream could still be running the request; a cold upstream that bears one request could then get two. Change: the slot stays counted until the close is reported. Property tests get a short seeded profile and a long one. Conclusion: a slot is free only when the upstream cannot be running for it.

--- /dev/null
+++ b/berylspool/conftest.py
@@ -0,0 +1,31 @@
+"""Profiles of the property tests: short and seeded in CI, long by choice.
+
+`HYPOTHESIS_PROFILE=long pytest` runs many random examples.
+"""
+
+import os
+
+from hypothesis import HealthCheck, settings
+
+SHORT_EXAMPLES = 40
+SHORT_STEPS = 50
+LONG_EXAMPLES = 10_000
+LONG_STEPS = 200
+
+settings.register_profile(
+    "short",
+    max_examples=SHORT_EXAMPLES,
+    stateful_step_count=SHORT_STEPS,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+settings.register_profile(
+    "long",
+    max_examples=int(os.environ.get("EXAMPLES", LONG_EXAMPLES)),
+    stateful_step_count=LONG_STEPS,
+    deadline=None,
+    print_blob=True,
+    suppress_health_check=list(HealthCheck),
+)
+settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "short"))
--- a/berylspool/version/attempt.py
+++ b/berylspool/version/attempt.py
@@ -168,6 +168,9 @@
     connection.state = ConnectionState.RETIRED
     connection.attempt_id = None
     end_attempt(pool, attempt.id)
+    # The upstream may still run it, so the slot is held until the close.
+    view.in_flight += 1
+    connection.holds_slot = True
     actions: list[PoolAction] = [
         CancelAttempt(attempt.upstream_id, attempt.part_id, attempt.id),
         Disconnect(connection.id),
--- a/berylspool/version/upkeep.py
+++ b/berylspool/version/upkeep.py
@@ -57,6 +57,8 @@
     connection = view.connection_by_id.pop(event.connection_id, None)
     if connection is None:
         return []
+    if connection.holds_slot:
+        view.in_flight -= 1
     actions = on_attempt_lost(pool, connection.attempt_id, view, now)
     if connection.state is not ConnectionState.RETIRED:
         doubt(view.ramp)
--- a/berylspool/version/upstream_view.py
+++ b/berylspool/version/upstream_view.py
@@ -47,12 +47,14 @@
         upstream_id: Upstream at the other end.
         state: Stage.
         attempt_id: Attempt that is in flight on it, if any.
+        holds_slot: Whether a slot is counted for it until it closes.
     """
 
     id: int
     upstream_id: str
     state: ConnectionState = ConnectionState.OPENING
     attempt_id: int | None = None
+    holds_slot: bool = False
 
 
 @dataclass(slots=True)
