--- /dev/null
+++ b/berylspool/process/storage.py
@@ -0,0 +1,293 @@
+"""Durable state of a control node: vote, log and snapshot on its disk.
+
+The data folder holds two files.  `log` starts with a magic that names the
+format version; each record after it has a checksummed header and a
+checksummed body.  `snapshot` is replaced by renaming.  A tail that was cut
+off by a crash is dropped; anything else that fails its checksum is refused,
+because records after it may have been acknowledged.
+"""
+
+import os
+import struct
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import msgpack
+import xxhash
+
+from berylspool.exception import CorruptLogError, StorageError
+from berylspool.process.consensus import decode_group, encode_group
+from berylspool.process.consensus_message import Record, RecordKind, Snapshot
+
+__all__ = ["Recovered", "Storage"]
+
+LOG_MAGIC = b"BSPLOG1\n"
+SNAPSHOT_MAGIC = b"BSPSNP1\n"
+HEADER = struct.Struct(">IIQ")
+HEADER_SEED = 0x62737031
+
+
+@dataclass(slots=True)
+class Recovered:
+    """What a data folder holds.
+
+    Attributes:
+        identity: Id of the node, or empty for a new folder.
+        promised: Nodes that have made promises to this one.
+        term: Saved term.
+        voted_for: Saved vote.
+        snapshot: Saved snapshot.
+        log: Records after it.
+        cut_bytes: Length of the torn tail that was dropped.
+    """
+
+    identity: str = ""
+    promised: tuple[str, ...] = ()
+    term: int = 0
+    voted_for: str = ""
+    snapshot: Snapshot = Snapshot()
+    log: list[Record] = field(default_factory=list)
+    cut_bytes: int = 0
+
+
+class Storage:
+    """Owns the data folder of one node.
+
+    Saves are buffered until `sync`, which returns once they are on disk.
+
+    Args:
+        folder: Data folder; made if it does not exist.
+
+    Raises:
+        StorageError: The folder cannot be made, read or written.
+        CorruptLogError: A file fails its checksums.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._log_path = folder / "log"
+        self._snapshot_path = folder / "snapshot"
+        self._buffer: list[bytes] = []
+        self._has_failed = False
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self.recovered = self._recover()
+            self._file = open(self._log_path, "r+b")  # noqa: SIM115
+            self._file.seek(0, os.SEEK_END)
+        except OSError as error:
+            raise StorageError(f"{folder}: {error}") from error
+
+    def save_identity(self, identity: str, promised: tuple[str, ...]) -> None:
+        """Save who this node is and who made promises to it."""
+        self.recovered.identity = identity
+        self.recovered.promised = promised
+        self._add(["identity", identity, list(promised)])
+
+    def save_vote(self, term: int, voted_for: str) -> None:
+        """Save term and vote."""
+        self.recovered.term = term
+        self.recovered.voted_for = voted_for
+        self._add(["vote", term, voted_for])
+
+    def append(self, records: tuple[Record, ...]) -> None:
+        """Save records; the first one replaces what had its index."""
+        for record in records:
+            self._add(_encode_record(record))
+
+    def sync(self) -> None:
+        """Write what is buffered and wait until the disk holds it.
+
+        Raises:
+            StorageError: The disk refused; nothing more is accepted then,
+                because what it holds is unknown.
+        """
+        if self._has_failed:
+            raise StorageError(f"{self._folder}: failed before")
+        if not self._buffer:
+            return
+        data = b"".join(self._buffer)
+        self._buffer.clear()
+        try:
+            self._file.write(data)
+            self._file.flush()
+            os.fdatasync(self._file.fileno())
+        except OSError as error:
+            self._has_failed = True
+            raise StorageError(f"{self._folder}: {error}") from error
+
+    def save_snapshot(
+        self, snapshot: Snapshot, kept: tuple[Record, ...]
+    ) -> None:
+        """Replace snapshot and log; returns once the disk holds both.
+
+        The snapshot is on disk before the records that it holds are
+        dropped, so a crash in between loses nothing.
+
+        Raises:
+            StorageError: The disk refused.
+        """
+        self.sync()
+        body = msgpack.packb(
+            [
+                snapshot.index,
+                snapshot.term,
+                encode_group(snapshot.group),
+                snapshot.data,
+            ]
+        )
+        log = [
+            LOG_MAGIC,
+            _frame(
+                [
+                    "identity",
+                    self.recovered.identity,
+                    list(self.recovered.promised),
+                ]
+            ),
+            _frame(["vote", self.recovered.term, self.recovered.voted_for]),
+            *(_frame(_encode_record(record)) for record in kept),
+        ]
+        try:
+            framed = SNAPSHOT_MAGIC + _frame_bytes(body)
+            self._replace(self._snapshot_path, framed)
+            self._replace(self._log_path, b"".join(log))
+            self._file.close()
+            self._file = open(self._log_path, "r+b")  # noqa: SIM115
+            self._file.seek(0, os.SEEK_END)
+        except OSError as error:
+            self._has_failed = True
+            raise StorageError(f"{self._folder}: {error}") from error
+
+    def size_bytes(self) -> int:
+        """Return the size of the data folder's files in bytes."""
+        paths = (self._log_path, self._snapshot_path)
+        return sum(p.stat().st_size for p in paths if p.exists())
+
+    def close(self) -> None:
+        """Close the files; what was not synced may be lost."""
+        self._file.close()
+
+    def _add(self, item: list) -> None:
+        self._buffer.append(_frame(item))
+
+    def _replace(self, path: Path, data: bytes) -> None:
+        temporary = path.with_suffix(".new")
+        with open(temporary, "wb") as file:
+            file.write(data)
+            file.flush()
+            os.fsync(file.fileno())
+        os.replace(temporary, path)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    def _recover(self) -> Recovered:
+        recovered = Recovered()
+        if self._snapshot_path.exists():
+            recovered.snapshot = _read_snapshot(self._snapshot_path)
+        if not self._log_path.exists():
+            self._replace(self._log_path, LOG_MAGIC)
+            return recovered
+        data = self._log_path.read_bytes()
+        if not data.startswith(LOG_MAGIC):
+            raise CorruptLogError(f"{self._log_path}: unknown format")
+        end = _replay(data, recovered, self._log_path)
+        recovered.cut_bytes = len(data) - end
+        if recovered.cut_bytes:
+            with open(self._log_path, "r+b") as file:
+                file.truncate(end)
+                file.flush()
+                os.fsync(file.fileno())
+        return recovered
+
+
+def _encode_record(record: Record) -> list:
+    return ["record", record.index, record.term, record.kind, record.body]
+
+
+def _frame(item: list) -> bytes:
+    return _frame_bytes(msgpack.packb(item))
+
+
+def _frame_bytes(body: bytes) -> bytes:
+    length = len(body)
+    check = xxhash.xxh32_intdigest(struct.pack(">I", length), HEADER_SEED)
+    return HEADER.pack(length, check, xxhash.xxh3_64_intdigest(body)) + body
+
+
+def _unframe(data: bytes, start: int, path: Path) -> tuple[bytes, int] | None:
+    """Return the body at `start` and its end; None at a torn tail.
+
+    Raises:
+        CorruptLogError: The bytes are whole but fail their checksum.
+    """
+    rest = data[start:]
+    if len(rest) < HEADER.size or not any(rest):
+        return None
+    length, check, digest = HEADER.unpack_from(rest)
+    wanted = xxhash.xxh32_intdigest(struct.pack(">I", length), HEADER_SEED)
+    if check != wanted:
+        raise CorruptLogError(f"{path}: bad header at byte {start}")
+    body = rest[HEADER.size : HEADER.size + length]
+    if len(body) < length:
+        return None
+    if xxhash.xxh3_64_intdigest(body) != digest:
+        if _is_zero_tail(rest, HEADER.size + length):
+            return None
+        raise CorruptLogError(f"{path}: bad record at byte {start}")
+    return body, start + HEADER.size + length
+
+
+def _is_zero_tail(rest: bytes, end: int) -> bool:
+    """Return whether the file was extended but the data never arrived."""
+    return not any(rest[end - 1 :]) and not any(rest[HEADER.size : end])
+
+
+def _replay(data: bytes, recovered: Recovered, path: Path) -> int:
+    """Replay the log into `recovered` and return its valid length."""
+    position = len(LOG_MAGIC)
+    while position < len(data):
+        framed = _unframe(data, position, path)
+        if framed is None:
+            return position
+        body, position = framed
+        match msgpack.unpackb(body):
+            case ["identity", identity, promised]:
+                recovered.identity = identity
+                recovered.promised = tuple(promised)
+            case ["vote", term, voted_for]:
+                recovered.term = term
+                recovered.voted_for = voted_for
+            case ["record", index, term, kind, payload]:
+                record = Record(index, term, RecordKind(kind), payload)
+                _place(record, recovered, path)
+            case _:
+                raise CorruptLogError(f"{path}: unknown record")
+    return position
+
+
+def _place(record: Record, recovered: Recovered, path: Path) -> None:
+    base = recovered.snapshot.index
+    if record.index <= base:
+        return
+    position = record.index - base - 1
+    if position > len(recovered.log):
+        raise CorruptLogError(f"{path}: record {record.index} is out of order")
+    del recovered.log[position:]
+    recovered.log.append(record)
+
+
+def _read_snapshot(path: Path) -> Snapshot:
+    data = path.read_bytes()
+    if not data.startswith(SNAPSHOT_MAGIC):
+        raise CorruptLogError(f"{path}: unknown format")
+    framed = _unframe(data, len(SNAPSHOT_MAGIC), path)
+    if framed is None:
+        raise CorruptLogError(f"{path}: cut short")
+    index, term, group, state = msgpack.unpackb(framed[0])
+    return Snapshot(index, term, decode_group(group), state)
--- /dev/null
+++ b/berylspool/process/tests/test_storage.py
@@ -0,0 +1,131 @@
+"""Recovery of the data folder: torn tails, flipped bytes, full disks."""
+
+import os
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylspool.exception import CorruptLogError, StorageError
+from berylspool.process.consensus_message import (
+    Group,
+    Record,
+    RecordKind,
+    Snapshot,
+)
+from berylspool.process.storage import LOG_MAGIC, Storage
+
+
+def record(index, term=1, size=10):
+    return Record(index, term, RecordKind.DATA, bytes([index % 256]) * size)
+
+
+def filled(folder, count=5):
+    storage = Storage(folder)
+    storage.save_identity("c1.0", ("c2.0",))
+    storage.save_vote(3, "c2.0")
+    for index in range(1, count + 1):
+        storage.append((record(index),))
+    storage.sync()
+    return storage
+
+
+def test_what_was_synced_is_recovered(tmp_path):
+    filled(tmp_path).close()
+    recovered = Storage(tmp_path).recovered
+    assert (recovered.term, recovered.voted_for) == (3, "c2.0")
+    assert recovered.identity == "c1.0" and recovered.promised == ("c2.0",)
+    assert recovered.log == [record(i) for i in range(1, 6)]
+
+
+def test_later_record_replaces_the_rest_of_the_log(tmp_path):
+    storage = filled(tmp_path)
+    storage.append((record(3, term=2),))
+    storage.sync()
+    storage.close()
+    log = Storage(tmp_path).recovered.log
+    assert [(r.index, r.term) for r in log] == [(1, 1), (2, 1), (3, 2)]
+
+
+@given(cut=st.integers(1, 60))
+def test_torn_tail_is_cut_and_the_log_goes_on(tmp_path_factory, cut):
+    folder = tmp_path_factory.mktemp("torn")
+    filled(folder).close()
+    path = folder / "log"
+    data = path.read_bytes()
+    path.write_bytes(data[:-cut])
+    storage = Storage(folder)
+    count = len(storage.recovered.log)
+    assert storage.recovered.log == [record(i) for i in range(1, count + 1)]
+    assert 2 <= count <= 4
+    storage.append((record(count + 1),))
+    storage.sync()
+    storage.close()
+    assert len(Storage(folder).recovered.log) == count + 1
+
+
+@given(st.data())
+def test_flipped_byte_is_refused_or_harmless(tmp_path_factory, data):
+    folder = tmp_path_factory.mktemp("flip")
+    filled(folder).close()
+    path = folder / "log"
+    content = bytearray(path.read_bytes())
+    position = data.draw(st.integers(0, len(content) - 1))
+    content[position] ^= data.draw(st.integers(1, 255))
+    path.write_bytes(bytes(content))
+    with pytest.raises(CorruptLogError):
+        Storage(folder)
+
+
+def test_zeros_after_a_crash_are_a_torn_tail(tmp_path):
+    filled(tmp_path).close()
+    with open(tmp_path / "log", "ab") as file:
+        file.write(bytes(300))
+    assert len(Storage(tmp_path).recovered.log) == 5
+
+
+def test_snapshot_keeps_later_records_and_identity(tmp_path):
+    storage = filled(tmp_path)
+    snapshot = Snapshot(3, 1, Group(("c1.0",)), b"state")
+    storage.save_snapshot(snapshot, (record(4), record(5)))
+    storage.append((record(6),))
+    storage.sync()
+    storage.close()
+    recovered = Storage(tmp_path).recovered
+    assert recovered.snapshot == snapshot
+    assert [r.index for r in recovered.log] == [4, 5, 6]
+    assert recovered.identity == "c1.0" and recovered.term == 3
+
+
+def test_crash_between_snapshot_and_log_loses_nothing(tmp_path):
+    storage = filled(tmp_path)
+    before = (tmp_path / "log").read_bytes()
+    snapshot = Snapshot(3, 1, Group(("c1.0",)), b"state")
+    storage.save_snapshot(snapshot, (record(4), record(5)))
+    storage.close()
+    (tmp_path / "log").write_bytes(before)
+    recovered = Storage(tmp_path).recovered
+    assert [r.index for r in recovered.log] == [4, 5]
+
+
+def test_disk_error_is_typed_and_final(tmp_path, monkeypatch):
+    storage = filled(tmp_path)
+
+    def refuse(descriptor):
+        raise OSError(28, "No space left on device")
+
+    monkeypatch.setattr(os, "fdatasync", refuse)
+    storage.append((record(6),))
+    with pytest.raises(StorageError):
+        storage.sync()
+    monkeypatch.undo()
+    with pytest.raises(StorageError):
+        storage.sync()
+
+
+def test_unknown_format_is_refused(tmp_path):
+    filled(tmp_path).close()
+    path = tmp_path / "log"
+    path.write_bytes(b"BSPLOG9\n" + path.read_bytes()[len(LOG_MAGIC) :])
+    with pytest.raises(CorruptLogError):
+        Storage(tmp_path)
