--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -46,7 +46,7 @@
         self.start("entry", name, "--name", name)
 
     def start_control(self, name: str) -> None:
-        self.start("control", name, "--name", name)
+        self.start("control", name, "--name", name, "--init")
 
     def signal(self, name: str, number: int) -> None:
         self.process_by_name[name].send_signal(number)
--- a/berylspool/connection/caller.py
+++ b/berylspool/connection/caller.py
@@ -295,7 +295,10 @@
         """Start to accept callers."""
         self._server.listen(port, host)
 
-    async def close(self) -> None:
-        """Stop accepting; requests in flight go on."""
+    def stop_listening(self) -> None:
+        """Accept no new connection; those that are open go on."""
         self._server.stop()
+
+    async def close(self) -> None:
+        """Close the connections once their requests are answered."""
         await self._server.close_all_connections()
--- /dev/null
+++ b/berylspool/connection/control_message.py
@@ -0,0 +1,215 @@
+"""Messages between entries and control nodes, and between control nodes."""
+
+from dataclasses import dataclass
+
+from berylspool.connection.frame import Codec
+from berylspool.connection.message import (
+    Hello,
+    Member,
+    MemberTable,
+    Ping,
+    Pong,
+)
+from berylspool.process.change import Intend, LedgerReply, Settle
+from berylspool.process.consensus_message import (
+    AppendRecords,
+    AppendReply,
+    InstallSnapshot,
+    PreVote,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+)
+from berylspool.version.configuration import Configuration
+
+__all__ = [
+    "Addressed",
+    "Announce",
+    "ConfigurationSent",
+    "DeltaSent",
+    "FoundingQuery",
+    "FoundingReply",
+    "Grant",
+    "Heartbeat",
+    "NotLeader",
+    "Tally",
+    "consensus_codec",
+    "control_codec",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Tally:
+    """What one entry saw of one version of one route since its last tally.
+
+    Attributes:
+        route: Name of the route.
+        version: Index version.
+        answered: Whole answers of upstreams.
+        failed: Errors, thin answers and lost connections.
+        latency: Encoded histogram of answer times in microseconds.
+    """
+
+    route: str
+    version: str
+    answered: int
+    failed: int
+    latency: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """Sent by every entry to every control node.
+
+    Attributes:
+        member: The entry.
+        boot: Unique for each start of its process.
+        revision: Configuration in force there.
+        drained_epoch: Newest proposed table that it has drained for.
+        is_leaving: Whether it shuts down.
+        sent_at: Its monotonic time, echoed by the grant.
+        tallies: What it saw since the last heartbeat.
+    """
+
+    member: Member
+    boot: str
+    revision: int
+    drained_epoch: int
+    is_leaving: bool
+    sent_at: float
+    tallies: tuple[Tally, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Lease on the configuration, from the leader only.
+
+    Attributes:
+        sent_at: Echo of the heartbeat; the lease runs from there.
+        lease_s: Length of the lease in seconds.
+        revision: Newest committed revision.
+        table: Newest table, active or proposed.
+    """
+
+    sent_at: float
+    lease_s: float
+    revision: int
+    table: MemberTable
+
+
+@dataclass(frozen=True, slots=True)
+class NotLeader:
+    """The node does not lead.
+
+    Attributes:
+        leader: Name of the node that may, or empty.
+        request_id: Ledger request that was not taken, or empty.
+    """
+
+    leader: str
+    request_id: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationSent:
+    """A whole configuration."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class DeltaSent:
+    """One change of the configuration.
+
+    Attributes:
+        base_revision: Revision that it changes.
+        operations: Encoded operations.
+        at: Time of the change, in seconds since the epoch.
+    """
+
+    base_revision: int
+    operations: bytes
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Addressed:
+    """A consensus message for one node id.
+
+    Attributes:
+        sender: Id of the sending node.
+        receiver: Id of the node it is for; another one ignores it.
+        body: Encoded message.
+    """
+
+    sender: str
+    receiver: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Announce:
+    """A node that is in no group says which identity its disk has."""
+
+    name: str
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class FoundingQuery:
+    """A node with an empty disk asks whether it made promises before."""
+
+    id: str
+
+
+@dataclass(frozen=True, slots=True)
+class FoundingReply:
+    """Answer to a `FoundingQuery`.
+
+    Attributes:
+        id: Id that was asked about.
+        has_promised: Whether a node of that id made promises.
+        replier: Name of the node that answers.
+    """
+
+    id: str
+    has_promised: bool
+    replier: str
+
+
+def control_codec() -> Codec:
+    """Return the codec of links to control nodes."""
+    return Codec(
+        [
+            Hello,
+            Ping,
+            Pong,
+            Heartbeat,
+            Grant,
+            NotLeader,
+            ConfigurationSent,
+            DeltaSent,
+            Intend,
+            Settle,
+            LedgerReply,
+            Addressed,
+            Announce,
+            FoundingQuery,
+            FoundingReply,
+        ]
+    )
+
+
+def consensus_codec() -> Codec:
+    """Return the codec of consensus messages."""
+    return Codec(
+        [
+            PreVote,
+            PreVoteReply,
+            Vote,
+            VoteReply,
+            AppendRecords,
+            AppendReply,
+            InstallSnapshot,
+        ]
+    )
--- a/berylspool/connection/frame.py
+++ b/berylspool/connection/frame.py
@@ -50,7 +50,7 @@
         """
         body = msgpack.packb(
             [[type(message).__name__, message] for message in messages],
-            default=_fields,
+            default=fields_of,
         )
         if len(body) > MAX_FRAME_BYTES:
             raise FrameTooLargeError(f"frame of {len(body)} bytes")
@@ -95,7 +95,7 @@
     return length
 
 
-def _fields(value: Any) -> Any:
+def fields_of(value: Any) -> Any:
     if dataclasses.is_dataclass(value):
         return {
             field.name: getattr(value, field.name)
--- /dev/null
+++ b/berylspool/process/change.py
@@ -0,0 +1,341 @@
+"""The replicated state of the control group, and the changes of its log.
+
+Every control node applies the same changes in the same order, so nothing
+here reads a clock: times travel in the changes.
+"""
+
+import enum
+from dataclasses import dataclass, field, replace
+
+from berylspool.connection.frame import HEADER_BYTES, Codec
+from berylspool.connection.message import MemberTable
+from berylspool.exception import (
+    BerylspoolError,
+    CommandConflictError,
+)
+from berylspool.version.configuration import Configuration
+from berylspool.version.operation import apply_all, operation_codec
+
+__all__ = [
+    "Change",
+    "CommandAnswer",
+    "Configure",
+    "ControlState",
+    "HistoryItem",
+    "Intend",
+    "LedgerDecision",
+    "LedgerEntry",
+    "LedgerReply",
+    "Seat",
+    "Settle",
+    "SettleKind",
+    "apply_change",
+    "change_codec",
+    "decode_state",
+    "encode_state",
+]
+
+KEPT_COMMANDS = 20_000
+KEPT_HISTORY = 1_000
+LEDGER_KEPT_S = 24 * 3600.0
+
+
+@dataclass(frozen=True, slots=True)
+class Configure:
+    """Change the configuration.
+
+    Attributes:
+        command_id: Id of the command; a resend has the same one.
+        base_revision: Revision that the operator saw; -1 for any.
+        operations: Encoded operations.
+        text: Command as the operator wrote it.
+        who: Name of the operator's role.
+        at: Time at the leader, in seconds since the epoch.
+    """
+
+    command_id: str
+    base_revision: int
+    operations: bytes
+    text: str
+    who: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Intend:
+    """State the intent to run a request that may not be repeated."""
+
+    key: str
+    fingerprint: str
+    request_id: str
+    at: float
+
+
+class SettleKind(enum.StrEnum):
+    """How a request that may not be repeated ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Record how a request ended.
+
+    Attributes:
+        key: Idempotency key.
+        request_id: Request that was granted.
+        kind: How it ended.
+        body: Encoded outcome, if it was answered.
+    """
+
+    key: str
+    request_id: str
+    kind: SettleKind
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """Put a table of members in place."""
+
+    table: MemberTable
+
+
+Change = Configure | Intend | Settle | Seat
+
+
+class LedgerDecision(enum.StrEnum):
+    """What the ledger says to an intent."""
+
+    GRANTED = "granted"
+    RECORDED = "recorded"
+    UNKNOWN = "unknown"
+    KEY_REUSED = "key_reused"
+    SETTLED = "settled"
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerEntry:
+    """What is known of one key."""
+
+    fingerprint: str
+    request_id: str
+    at: float
+    is_answered: bool = False
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerReply:
+    """Answer of the ledger.
+
+    Attributes:
+        request_id: Request that asked.
+        decision: What the ledger says.
+        body: Encoded outcome, if one is recorded.
+    """
+
+    request_id: str
+    decision: LedgerDecision
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class CommandAnswer:
+    """Answer to an operator's command.
+
+    Attributes:
+        command_id: Id of the command.
+        is_accepted: Whether the configuration has changed.
+        revision: Revision after the command.
+        error: Name of the error's type, or empty.
+        message: What went wrong, or empty.
+    """
+
+    command_id: str
+    is_accepted: bool
+    revision: int
+    error: str = ""
+    message: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HistoryItem:
+    """An accepted change: who, when, what."""
+
+    revision: int
+    at: float
+    who: str
+    text: str
+
+
+@dataclass(slots=True)
+class ControlState:
+    """The replicated state.
+
+    Attributes:
+        configuration: Newest configuration.
+        answer_by_command: Answers of the newest commands, oldest first.
+        history: Newest accepted changes, oldest first.
+        entry_by_key: The ledger, oldest first.
+        active: Table whose owners admit.
+        proposed: Newer table that is not active yet.
+    """
+
+    configuration: Configuration = field(default_factory=Configuration)
+    answer_by_command: dict[str, CommandAnswer] = field(default_factory=dict)
+    history: list[HistoryItem] = field(default_factory=list)
+    entry_by_key: dict[str, LedgerEntry] = field(default_factory=dict)
+    active: MemberTable = field(default_factory=MemberTable)
+    proposed: MemberTable | None = None
+
+
+OPERATIONS = operation_codec()
+STATES = Codec([ControlState])
+
+
+def change_codec() -> Codec:
+    """Return the codec of changes in the log."""
+    return Codec([Configure, Intend, Settle, Seat])
+
+
+def encode_state(state: ControlState) -> bytes:
+    """Encode the state for a snapshot."""
+    return STATES.encode([state])[HEADER_BYTES:]
+
+
+def decode_state(data: bytes) -> ControlState:
+    """Decode the state of a snapshot; empty bytes give a new state.
+
+    Raises:
+        FrameError: The data is malformed.
+    """
+    if not data:
+        return ControlState()
+    [state] = STATES.decode(data)
+    return state
+
+
+def apply_change(
+    state: ControlState, change: Change
+) -> CommandAnswer | LedgerReply | None:
+    """Apply one committed change.
+
+    Args:
+        state: State to change in place.
+        change: Change from the log.
+
+    Returns:
+        The answer to who proposed it; None for a table.
+    """
+    match change:
+        case Configure():
+            return _configure(state, change)
+        case Intend():
+            return _intend(state, change)
+        case Settle():
+            return _settle(state, change)
+        case Seat(table=table):
+            _seat(state, table)
+            return None
+
+
+def _configure(state: ControlState, change: Configure) -> CommandAnswer:
+    known = state.answer_by_command.get(change.command_id)
+    if known is not None:
+        return known
+    before = state.configuration
+    try:
+        _check_base(before, change)
+        operations = tuple(OPERATIONS.decode(change.operations))
+        state.configuration = apply_all(before, operations, change.at)
+        answer = CommandAnswer(
+            change.command_id, True, state.configuration.revision
+        )
+        item = HistoryItem(
+            state.configuration.revision, change.at, change.who, change.text
+        )
+        state.history.append(item)
+        del state.history[:-KEPT_HISTORY]
+    except BerylspoolError as error:
+        answer = CommandAnswer(
+            change.command_id,
+            False,
+            before.revision,
+            type(error).__name__,
+            str(error),
+        )
+    state.answer_by_command[change.command_id] = answer
+    _drop_oldest(state.answer_by_command, KEPT_COMMANDS)
+    return answer
+
+
+def _check_base(configuration: Configuration, change: Configure) -> None:
+    if change.base_revision not in (-1, configuration.revision):
+        raise CommandConflictError(
+            f"based on revision {change.base_revision}, "
+            f"but {configuration.revision} is current"
+        )
+
+
+def _drop_oldest(by_key: dict, most: int) -> None:
+    while len(by_key) > most:
+        del by_key[next(iter(by_key))]
+
+
+def _intend(state: ControlState, change: Intend) -> LedgerReply:
+    _forget_old(state, change.at)
+    known = state.entry_by_key.get(change.key)
+    if known is None:
+        state.entry_by_key[change.key] = LedgerEntry(
+            change.fingerprint, change.request_id, change.at
+        )
+        decision, body = LedgerDecision.GRANTED, b""
+    elif known.fingerprint != change.fingerprint:
+        decision, body = LedgerDecision.KEY_REUSED, b""
+    elif known.is_answered:
+        decision, body = LedgerDecision.RECORDED, known.body
+    elif known.request_id == change.request_id:
+        # The same send asks again because the first reply was lost.
+        decision, body = LedgerDecision.GRANTED, b""
+    else:
+        decision, body = LedgerDecision.UNKNOWN, b""
+    return LedgerReply(change.request_id, decision, body)
+
+
+def _forget_old(state: ControlState, at: float) -> None:
+    entries = state.entry_by_key
+    while entries:
+        key = next(iter(entries))
+        if at - entries[key].at <= LEDGER_KEPT_S:
+            return
+        del entries[key]
+
+
+def _settle(state: ControlState, change: Settle) -> LedgerReply:
+    known = state.entry_by_key.get(change.key)
+    if known is not None and known.request_id == change.request_id:
+        match change.kind:
+            case SettleKind.ANSWERED:
+                state.entry_by_key[change.key] = replace(
+                    known, is_answered=True, body=change.body
+                )
+            case SettleKind.NOT_RUN if not known.is_answered:
+                del state.entry_by_key[change.key]
+            case _:
+                pass
+    return LedgerReply(change.request_id, LedgerDecision.SETTLED)
+
+
+def _seat(state: ControlState, table: MemberTable) -> None:
+    newest = max(
+        state.active.epoch, state.proposed.epoch if state.proposed else 0
+    )
+    if table.epoch < newest:
+        return
+    if table.is_active:
+        state.active, state.proposed = table, None
+    else:
+        state.proposed = table
--- a/berylspool/process/cli.py
+++ b/berylspool/process/cli.py
@@ -15,9 +15,17 @@
 from rich.table import Table
 
 from berylspool.exception import BerylspoolError
+from berylspool.process.control import Control
 from berylspool.process.entry import VERSION, Entry
 from berylspool.process.load import LoadPlan, run_load, summary
 from berylspool.process.log import open_log
+from berylspool.process.operator import (
+    OperatorClient,
+    Options,
+    interact,
+    print_answer,
+    run_with_progress,
+)
 from berylspool.process.settings import (
     Settings,
     load_settings,
@@ -68,6 +76,99 @@
     await Entry(name, settings).run()
 
 
+@app.command
+def control(
+    *,
+    settings: SettingsFile,
+    name: str,
+    init: bool = False,
+    restore: Path | None = None,
+) -> None:
+    """Keep the configuration as one control node.
+
+    Args:
+        settings: Settings file of the deployment.
+        name: Name of this control node in the settings.
+        init: Found the deployment, if its data folder is empty and the
+            other founders know of no earlier promise of this node.
+        restore: Backup that a new deployment starts from; the same file
+            for every founder.
+    """
+    loaded = load_settings(settings)
+    open_log(loaded.log.path)
+    backup = restore.read_bytes() if restore else b""
+    run_loop(loaded, _run_control(name, loaded, init, backup))
+
+
+async def _run_control(
+    name: str, settings: Settings, is_init: bool, backup: bytes
+) -> None:
+    await Control(name, settings, is_init, backup).run()
+
+
+@app.command
+def ctl(
+    *words: str,
+    settings: SettingsFile,
+    json: bool = False,
+    wait: bool = False,
+    dry_run: bool = False,
+    token: str = "",
+    id: str = "",
+    base: int | None = None,
+    script: Path | None = None,
+    backup: Path | None = None,
+) -> None:
+    """Ask what holds and state what should hold; see the language page.
+
+    Without words, commands are read from the terminal.  The exit code is 0
+    for success, 1 for a refusal, 2 for bad settings or syntax and 3 for a
+    conflict with another change.
+
+    Args:
+        words: One command.
+        settings: Settings file of the deployment.
+        json: Print JSON in place of tables.
+        wait: Wait until a change is in force everywhere.
+        dry_run: Print what a change would change.
+        token: Administration token.
+        id: Id of the command; a resend with the same id is applied once.
+        base: Revision that the command is based on.
+        script: File with one command a line.
+        backup: File that gets a backup of the replicated state.
+    """
+    loaded = load_settings(settings)
+    options = Options(token, wait, dry_run, json, id, base)
+    sys.exit(asyncio.run(_run_ctl(loaded, options, words, script, backup)))
+
+
+async def _run_ctl(
+    settings: Settings,
+    options: Options,
+    words: tuple[str, ...],
+    script: Path | None,
+    backup: Path | None,
+) -> int:
+    client = OperatorClient(settings, options)
+    if backup is not None:
+        backup.write_bytes(await client.fetch_state())
+        return 0
+    texts = [" ".join(words)] if words else []
+    if script is not None:
+        texts = script.read_text(encoding="utf-8").splitlines()
+    if not texts:
+        await interact(client, options)
+        return 0
+    for text in texts:
+        if not text.strip() or text.startswith("#"):
+            continue
+        reply = await run_with_progress(client, text, options)
+        code = print_answer(reply, options.is_json)
+        if code:
+            return code
+    return 0
+
+
 @app.command
 def standin(*, settings: SettingsFile, record: str = "") -> None:
     """Run a stand-in for each upstream of the initial configuration.
--- /dev/null
+++ b/berylspool/process/control.py
@@ -0,0 +1,507 @@
+"""The control role: one node of the replicated configuration."""
+
+import asyncio
+import random
+import secrets
+import signal
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from berylspool.connection.admin import (
+    AdminServer,
+    Ask,
+    AskBackup,
+    Decided,
+)
+from berylspool.connection.control_message import (
+    Addressed,
+    Announce,
+    ConfigurationSent,
+    DeltaSent,
+    FoundingQuery,
+    FoundingReply,
+    Grant,
+    Heartbeat,
+    NotLeader,
+    consensus_codec,
+    control_codec,
+)
+from berylspool.connection.frame import HEADER_BYTES
+from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.peer import Link, LinkServer, Session
+from berylspool.exception import (
+    ProtocolError,
+    SettingsError,
+    StorageError,
+)
+from berylspool.process import consensus, membership, overseer
+from berylspool.process.change import (
+    Change,
+    CommandAnswer,
+    Configure,
+    Intend,
+    Seat,
+    Settle,
+    encode_state,
+)
+from berylspool.process.consensus_message import (
+    ConsensusEvent,
+    ProposeGroup,
+    Received,
+    Rejected,
+    RoleChanged,
+    SendTo,
+    Ticked,
+)
+from berylspool.process.desk import Desk, initial_change, move_change
+from berylspool.process.event import (
+    LeaderChanged,
+    LinkChanged,
+    MembersChanged,
+    MoveChanged,
+    ProcessStarted,
+    ProcessStopped,
+    StorageFailed,
+)
+from berylspool.process.log import LogTask
+from berylspool.process.metric import Metrics, set_gauge
+from berylspool.process.repair import name_of, next_group
+from berylspool.process.replica import Applied, Installed, Replica, Result
+from berylspool.process.settings import Settings, split_address
+from berylspool.process.storage import Storage
+from berylspool.version.move import traffic_share
+
+__all__ = ["Control"]
+
+VERSION = "0.1.0"
+TICK_S = 0.05
+KEPT_DELTAS = 500
+WAIT_TIMEOUT_S = 30.0
+CHANGES_PER_RECORD = 512
+NO_TAG = 0
+
+
+@dataclass(frozen=True, slots=True)
+class FromSession:
+    """A message on a link that somebody else opened."""
+
+    session: Session
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class FromLink:
+    """A message on a link that this node opened."""
+
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A change, and who waits for its answer."""
+
+    change: Change
+    reply: Callable[[Any], None] = lambda answer: None
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """An operator who waits until a revision is in force everywhere."""
+
+    ask: Ask
+    answer: CommandAnswer
+    until: float
+
+
+@dataclass(slots=True)
+class Owed:
+    """Answers that this node owes.
+
+    Attributes:
+        batch: Changes of the next record.
+        by_index: Changes of records that are not committed yet.
+        pauses: Operators who wait.
+    """
+
+    batch: list[Waiting] = field(default_factory=list)
+    by_index: dict[int, list[Waiting]] = field(default_factory=dict)
+    pauses: list[Pause] = field(default_factory=list)
+
+
+class Control:
+    """Task that owns a replica and the links of one control process.
+
+    Args:
+        name: Name of the node in the settings.
+        settings: Settings of the deployment.
+        is_init: Whether this may be the first start of the deployment.
+        backup: Encoded state that a new deployment starts from.
+        clock: Monotonic time in seconds.
+        wall: Seconds since the epoch.
+
+    Raises:
+        SettingsError: The settings hold no node of that name.
+        StorageError: The data folder cannot be used.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        settings: Settings,
+        is_init: bool = False,
+        backup: bytes = b"",
+        clock: Callable[[], float] = time.monotonic,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        if name not in settings.controls:
+            raise SettingsError(f"controls.{name}: not in the settings")
+        self.name = name
+        self.settings = settings
+        self.inbox: Mailbox[Any] = Mailbox()
+        self.membership = membership.Membership(settings.lease_s)
+        self.overseer = overseer.Overseer()
+        self.announced_by_name: dict[str, str] = {}
+        self._own = settings.controls[name]
+        self._clock = clock
+        self._wall = wall
+        self._log = LogTask()
+        self._metrics = Metrics()
+        self._random = random.Random(secrets.randbits(64))
+        self._owed = Owed()
+        self._deltas: list[DeltaSent] = []
+        self._messages = consensus_codec()
+        self._link_by_name: dict[str, Link] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        founders = tuple(
+            sorted(n for n, c in settings.controls.items() if c.is_voter)
+        )
+        storage = Storage(Path(self._own.data_folder))
+        self.replica = Replica(name, storage, founders, is_init, clock, backup)
+        self._desk = Desk(self)
+        self._server = LinkServer(
+            control_codec(),
+            sink=lambda session, message: self.inbox.put(
+                FromSession(session, message)
+            ),
+            closed=self._session_ended,
+        )
+        self._admin = AdminServer(self.inbox, settings.tokens, self._metrics)
+
+    async def run(self) -> None:
+        """Serve until SIGTERM or SIGINT, or until the disk fails.
+
+        Raises:
+            StorageError: The disk refused.
+        """
+        stopping = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stopping.set)
+        self._start()
+        serving = asyncio.ensure_future(self._serve())
+        waiting = asyncio.ensure_future(stopping.wait())
+        await asyncio.wait(
+            {serving, waiting}, return_when=asyncio.FIRST_COMPLETED
+        )
+        failure = serving.exception() if serving.done() else None
+        for task in (serving, waiting, *self._tasks):
+            task.cancel()
+        await asyncio.gather(
+            serving, waiting, *self._tasks, return_exceptions=True
+        )
+        self._log.put(ProcessStopped("control", self.name))
+        self._log.close()
+        if failure is not None:
+            raise failure
+
+    def _start(self) -> None:
+        host, port = split_address(self._own.address)
+        self._server.listen(port, host)
+        host, port = split_address(self._own.admin_address)
+        self._admin.listen(host, port)
+        self._tasks.append(asyncio.ensure_future(self._log.run()))
+        for name, control in self.settings.controls.items():
+            if name != self.name:
+                self._open_link(name, *split_address(control.address))
+        self._log.put(ProcessStarted("control", self.name, VERSION))
+
+    def _open_link(self, name: str, host: str, port: int) -> None:
+        link = Link(
+            self.name,
+            host,
+            port,
+            control_codec(),
+            sink=lambda message: self.inbox.put(FromLink(message)),
+            up=lambda: self._log.put(LinkChanged(name, "up")),
+            down=lambda: None,
+        )
+        self._link_by_name[name] = link
+        self._tasks.append(asyncio.ensure_future(link.run()))
+
+    def _session_ended(
+        self, session: Session, error: ProtocolError | None
+    ) -> None:
+        if error is not None:
+            self._log.put(LinkChanged(session.peer or "unknown", str(error)))
+
+    async def _serve(self) -> None:
+        try:
+            while True:
+                for message in await self.inbox.take(TICK_S):
+                    await self._handle(message)
+                await self._propose_batch()
+                await self._tick()
+        except StorageError as error:
+            self._log.put(StorageFailed(str(error)))
+            raise
+
+    async def _tick(self) -> None:
+        if self.replica.is_founding:
+            self._probe()
+            return
+        self.replica.node.jitter = self._random.random()
+        await self.step(Ticked())
+        if self.replica.has_quorum_contact():
+            await self._lead()
+        elif not self.replica.is_member:
+            self._announce()
+        self._answer_pauses()
+        self._export()
+
+    def _export(self) -> None:
+        replica = self.replica
+        figures = {
+            "berylspool_term": replica.node.term,
+            "berylspool_leader": float(replica.is_leader),
+            "berylspool_commit_index": replica.node.commit,
+            "berylspool_members": len(replica.state.active.member_by_name),
+            "berylspool_configuration_revision": (
+                replica.state.configuration.revision
+            ),
+        }
+        for name, value in figures.items():
+            set_gauge(self._metrics, name, value)
+
+    def _probe(self) -> None:
+        """Ask the other founders about promises of this node."""
+        for founder in self.replica.unconfirmed:
+            link = self._link_by_name[founder]
+            if not len(link.inbox):
+                link.inbox.put(FoundingQuery(f"{self.name}.0"))
+
+    def _announce(self) -> None:
+        """Let the leader know this disk's identity, so it can be added."""
+        for link in self._link_by_name.values():
+            if not len(link.inbox):
+                link.inbox.put(Announce(self.name, self.replica.node.id))
+
+    async def _handle(self, message: Any) -> None:
+        match message:
+            case FromLink(message=FoundingReply() as reply):
+                self.replica.confirm(reply.replier, reply.has_promised)
+            case FromSession(session=session, message=inner):
+                await self._handle_session(session, inner)
+            case Ask():
+                await self._desk.handle(message)
+            case AskBackup(reply=reply):
+                is_leading = self.replica.has_quorum_contact()
+                state = self.replica.state
+                reply.put(encode_state(state) if is_leading else b"")
+
+    async def _handle_session(self, session: Session, message: Any) -> None:
+        match message:
+            case FoundingQuery(id=id):
+                promised = self.replica.has_promise(id)
+                session.inbox.put(FoundingReply(id, promised, self.name))
+            case Addressed(receiver=receiver) if (
+                receiver and receiver == self.replica.node.id
+            ):
+                [inner] = self._messages.decode(message.body)
+                await self.replica.note_promise(message.sender)
+                await self.step(Received(message.sender, inner))
+            case Announce(name=name, id=id):
+                self.announced_by_name[name] = id
+            case Heartbeat():
+                self._heartbeat(session, message)
+            case Intend() | Settle() if self.replica.is_leader:
+                self.submit(message, session.inbox.put)
+            case Intend() | Settle():
+                name = self.replica.leader
+                session.inbox.put(NotLeader(name, message.request_id))
+
+    def _heartbeat(self, session: Session, beat: Heartbeat) -> None:
+        heard = membership.Heard(
+            beat.member,
+            beat.boot,
+            beat.revision,
+            beat.drained_epoch,
+            beat.is_leaving,
+        )
+        membership.step(self.membership, heard, self._clock())
+        overseer.add(self.overseer, beat.tallies)
+        if not self.replica.has_quorum_contact():
+            session.inbox.put(NotLeader(self.replica.leader))
+            return
+        state = self.replica.state
+        if beat.revision != state.configuration.revision:
+            self._send_configuration(session, beat.revision)
+        session.inbox.put(
+            Grant(
+                beat.sent_at,
+                self.settings.lease_s,
+                state.configuration.revision,
+                state.proposed or state.active,
+            )
+        )
+
+    def _send_configuration(self, session: Session, revision: int) -> None:
+        """Send the changes since a revision, or everything."""
+        missing = [d for d in self._deltas if d.base_revision >= revision]
+        if missing and missing[0].base_revision == revision:
+            for delta in missing:
+                session.inbox.put(delta)
+            return
+        configuration = self.replica.state.configuration
+        session.inbox.put(ConfigurationSent(configuration))
+
+    def submit(
+        self,
+        change: Change,
+        reply: Callable[[Any], None] = lambda answer: None,
+    ) -> None:
+        """Put a change into the next record.
+
+        Args:
+            change: The change.
+            reply: Takes its answer, or a `NotLeader`.
+        """
+        self._owed.batch.append(Waiting(change, reply))
+
+    def wait_in_force(self, ask: Ask, answer: CommandAnswer) -> None:
+        """Answer an operator once a revision is in force everywhere."""
+        until = self._clock() + WAIT_TIMEOUT_S
+        self._owed.pauses.append(Pause(ask, answer, until))
+
+    async def _propose_batch(self) -> None:
+        batch, self._owed.batch = self._owed.batch, []
+        for start in range(0, len(batch), CHANGES_PER_RECORD):
+            chunk = batch[start : start + CHANGES_PER_RECORD]
+            event = self.replica.propose([item.change for item in chunk])
+            self._owed.by_index[event.tag] = chunk
+            await self.step(event)
+
+    def _refuse(self, batch: list[Waiting]) -> None:
+        for waiting in batch:
+            request_id = getattr(waiting.change, "request_id", "")
+            waiting.reply(NotLeader(self.replica.leader, request_id))
+
+    async def _lead(self) -> None:
+        """Do what only a leader with a quorum does on each tick."""
+        group = next_group(self.replica.node)
+        if group is not None:
+            await self.step(ProposeGroup(NO_TAG, group))
+        configuration = self.replica.state.configuration
+        if configuration.revision == 0:
+            if not self._owed.by_index and not self._owed.batch:
+                self.submit(initial_change(self.settings, self._wall()))
+            return
+        for action in membership.step(
+            self.membership, membership.Ticked(), self._clock()
+        ):
+            self.submit(Seat(action.table))
+        if self._owed.by_index or self._owed.batch:
+            return
+        for before, after in overseer.step(
+            self.overseer, configuration, self._wall()
+        ):
+            self.submit(move_change(before, after, self._wall()))
+
+    async def step(self, event: ConsensusEvent) -> None:
+        """Step the replica and pass on what follows.
+
+        Raises:
+            StorageError: The disk refused.
+        """
+        for output in await self.replica.step(event):
+            match output:
+                case SendTo(peer=peer, message=message):
+                    self._send(peer, message)
+                case Rejected(tag=tag):
+                    self._refuse(self._owed.by_index.pop(tag, []))
+                case RoleChanged(role=role, term=term):
+                    self._role_changed(role, term)
+                case Applied():
+                    self._applied(output)
+                case Installed():
+                    self._deltas.clear()
+                    self._seated()
+
+    def _send(self, peer: str, message: Any) -> None:
+        link = self._link_by_name.get(name_of(peer))
+        if link is not None:
+            body = self._messages.encode([message])[HEADER_BYTES:]
+            link.inbox.put(Addressed(self.replica.node.id, peer, body))
+
+    def _role_changed(self, role: str, term: int) -> None:
+        self._log.put(LeaderChanged(self.name, role, term))
+        owed, self._owed.by_index = self._owed.by_index, {}
+        for batch in owed.values():
+            self._refuse(batch)
+        if role == consensus.Role.LEADER:
+            led = membership.Led(term)
+            membership.step(self.membership, led, self._clock())
+            self._seated()
+
+    def _seated(self) -> None:
+        state = self.replica.state
+        seated = membership.Seated(state.active, state.proposed)
+        membership.step(self.membership, seated, self._clock())
+
+    def _applied(self, applied: Applied) -> None:
+        waiting = self._owed.by_index.pop(applied.index, [])
+        for result in applied.results:
+            match result.change:
+                case Configure() if result.after is not result.before:
+                    self._changed(result, result.change)
+                case Seat(table=table):
+                    self._seated()
+                    names = ",".join(sorted(table.member_by_name))
+                    self._log.put(
+                        MembersChanged(table.epoch, names, table.is_active)
+                    )
+        answers = [result.answer for result in applied.results]
+        for item, answer in zip(waiting, answers, strict=False):
+            item.reply(answer)
+
+    def _changed(self, result: Result, change: Configure) -> None:
+        before, after = result.before, result.after
+        delta = DeltaSent(before.revision, change.operations, change.at)
+        self._deltas.append(delta)
+        del self._deltas[:-KEPT_DELTAS]
+        if self.replica.has_quorum_contact():
+            for session in self._server.session_by_id.values():
+                if session.peer not in self.settings.controls:
+                    session.inbox.put(delta)
+        for route, move in after.move_by_route.items():
+            if before.move_by_route.get(route) != move:
+                share = traffic_share(move)
+                self._log.put(MoveChanged(route, move.state, share, move.cause))
+
+    def _answer_pauses(self) -> None:
+        now = self._clock()
+        left = []
+        for pause in self._owed.pauses:
+            having, total, is_everywhere = membership.in_force(
+                self.membership, pause.answer.revision, now
+            )
+            is_over = now >= pause.until or not self.replica.is_leader
+            if is_everywhere or is_over:
+                pause.ask.reply.put(
+                    Decided(pause.answer, having, total, is_everywhere)
+                )
+            else:
+                left.append(pause)
+        self._owed.pauses = left
--- /dev/null
+++ b/berylspool/process/control_client.py
@@ -0,0 +1,260 @@
+"""The control client task: heartbeats, lease, configuration and ledger."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from berylspool.connection.control_message import (
+    ConfigurationSent,
+    DeltaSent,
+    Grant,
+    Heartbeat,
+    NotLeader,
+    Tally,
+    control_codec,
+)
+from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.message import Member, MemberTable
+from berylspool.connection.peer import Link
+from berylspool.process.change import (
+    Intend,
+    LedgerDecision,
+    LedgerReply,
+    Settle,
+)
+from berylspool.process.event import (
+    ConfigurationApplied,
+    Event,
+    LeaseChanged,
+    LinkChanged,
+)
+from berylspool.process.settings import Settings, split_address
+from berylspool.version.configuration import Configuration
+from berylspool.version.operation import apply_all, operation_codec
+
+__all__ = ["ControlClient", "Drained", "Leave", "LedgerAsked"]
+
+HEARTBEAT_S = 0.25
+RESEND_S = 0.3
+LEDGER_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """Moved services of a table have drained here."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """The process shuts down and hands its services over."""
+
+
+@dataclass(frozen=True, slots=True)
+class LedgerAsked:
+    """A request task asks the ledger.
+
+    Attributes:
+        request: What it asks.
+        inbox: Takes the `LedgerReply`, or nothing if there is none.
+    """
+
+    request: Intend | Settle
+    inbox: Mailbox[Any]
+
+
+@dataclass(frozen=True, slots=True)
+class From:
+    """A message from a control node."""
+
+    node: str
+    message: Any
+
+
+@dataclass(slots=True)
+class Asked:
+    """A ledger request that has no reply yet."""
+
+    asked: LedgerAsked
+    sent_at: float
+    until: float
+
+
+class ControlClient:
+    """Task that owns the links to all control nodes.
+
+    Args:
+        member: This entry.
+        boot: Unique for each start of the process.
+        settings: Settings of the deployment.
+        clock: Monotonic time in seconds.
+        log: Takes log events.
+        applied: Takes each configuration that is in force from now on.
+        leased: Takes the moment until which the lease runs.
+        seated: Takes each table of members.
+        tallies: Returns what was seen since the last call.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        boot: str,
+        settings: Settings,
+        *,
+        clock: Callable[[], float],
+        log: Callable[[Event], None],
+        applied: Callable[[Configuration], None],
+        leased: Callable[[float], None],
+        seated: Callable[[MemberTable], None],
+        tallies: Callable[[], tuple[Tally, ...]],
+    ) -> None:
+        self.inbox: Mailbox[Any] = Mailbox()
+        self._member = member
+        self._boot = boot
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._applied = applied
+        self._leased = leased
+        self._seated = seated
+        self._tallies = tallies
+        self._operations = operation_codec()
+        self._configuration = Configuration()
+        self._table = MemberTable()
+        self._drained_epoch = 0
+        self._is_leaving = False
+        self._is_held = False
+        self._lease_until = float("-inf")
+        self._leader = ""
+        self._asked_by_key: dict[tuple[str, bool], Asked] = {}
+        self._link_by_name: dict[str, Link] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+
+    async def run(self) -> None:
+        """Serve the inbox until the task is cancelled."""
+        for name, control in self._settings.controls.items():
+            self._open_link(name, *split_address(control.address))
+        beat_at = self._clock()
+        try:
+            while True:
+                pause_s = max(0.0, beat_at - self._clock())
+                for message in await self.inbox.take(pause_s):
+                    self._handle(message)
+                if self._clock() >= beat_at:
+                    beat_at = self._clock() + HEARTBEAT_S
+                    self._beat()
+                self._watch_lease()
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    def _open_link(self, name: str, host: str, port: int) -> None:
+        link = Link(
+            self._member.name,
+            host,
+            port,
+            control_codec(),
+            sink=lambda message: self.inbox.put(From(name, message)),
+            up=lambda: self._log(LinkChanged(name, "up")),
+            down=lambda: None,
+        )
+        self._link_by_name[name] = link
+        self._tasks.append(asyncio.ensure_future(link.run()))
+
+    def _beat(self) -> None:
+        now = self._clock()
+        beat = Heartbeat(
+            self._member,
+            self._boot,
+            self._configuration.revision,
+            self._drained_epoch,
+            self._is_leaving,
+            now,
+            self._tallies(),
+        )
+        for link in self._link_by_name.values():
+            link.inbox.put(beat)
+        for key, asked in list(self._asked_by_key.items()):
+            if now >= asked.until:
+                del self._asked_by_key[key]
+            elif now - asked.sent_at >= RESEND_S:
+                self._send(asked)
+
+    def _watch_lease(self) -> None:
+        is_held = self._clock() < self._lease_until
+        if is_held != self._is_held:
+            self._is_held = is_held
+            revision = self._configuration.revision
+            self._log(LeaseChanged(is_held, revision))
+
+    def _handle(self, message: Any) -> None:
+        match message:
+            case Drained(epoch=epoch):
+                self._drained_epoch = max(self._drained_epoch, epoch)
+                self._beat()
+            case Leave():
+                self._is_leaving = True
+                self._beat()
+            case LedgerAsked(request=request):
+                now = self._clock()
+                asked = Asked(message, now, now + LEDGER_TIMEOUT_S)
+                key = (request.request_id, isinstance(request, Settle))
+                self._asked_by_key[key] = asked
+                self._send(asked)
+            case From(node=node, message=inner):
+                self._hear(node, inner)
+
+    def _hear(self, node: str, message: Any) -> None:
+        match message:
+            case Grant():
+                self._grant(node, message)
+            case NotLeader(leader=leader):
+                if self._leader == node:
+                    self._leader = leader
+            case ConfigurationSent(configuration=configuration):
+                self._apply(configuration)
+            case DeltaSent():
+                self._apply_delta(message)
+            case LedgerReply(request_id=request_id, decision=decision):
+                is_settle = decision is LedgerDecision.SETTLED
+                asked = self._asked_by_key.pop((request_id, is_settle), None)
+                if asked is not None:
+                    asked.asked.inbox.put(message)
+
+    def _grant(self, node: str, grant: Grant) -> None:
+        """Take a lease, if this entry has the configuration it is for."""
+        self._leader = node
+        if grant.table != self._table:
+            self._table = grant.table
+            self._seated(grant.table)
+        if self._configuration.revision < grant.revision:
+            return
+        self._lease_until = max(
+            self._lease_until, grant.sent_at + grant.lease_s
+        )
+        self._leased(self._lease_until)
+
+    def _apply(self, configuration: Configuration) -> None:
+        if configuration.revision <= self._configuration.revision:
+            return
+        self._configuration = configuration
+        self._applied(configuration)
+        self._log(ConfigurationApplied(configuration.revision))
+        self._beat()
+
+    def _apply_delta(self, delta: DeltaSent) -> None:
+        """Apply one change; a gap is closed by the next heartbeat."""
+        if delta.base_revision != self._configuration.revision:
+            return
+        operations = tuple(self._operations.decode(delta.operations))
+        self._apply(apply_all(self._configuration, operations, delta.at))
+
+    def _send(self, asked: Asked) -> None:
+        """Send a ledger request to the leader, or to all if unknown."""
+        asked.sent_at = self._clock()
+        link = self._link_by_name.get(self._leader)
+        links = [link] if link else list(self._link_by_name.values())
+        for each in links:
+            each.inbox.put(asked.asked.request)
--- /dev/null
+++ b/berylspool/process/desk.py
@@ -0,0 +1,217 @@
+"""The desk: answers operators' commands for the control task."""
+
+import time
+from typing import TYPE_CHECKING, Any
+
+from berylspool.connection.admin import (
+    Ask,
+    AskReply,
+    Decided,
+    Elsewhere,
+    Failed,
+    Shown,
+)
+from berylspool.connection.frame import HEADER_BYTES
+from berylspool.exception import (
+    BerylspoolError,
+    CommandError,
+    NoLeaderError,
+    PermissionDeniedError,
+    UnknownNameError,
+)
+from berylspool.process import membership
+from berylspool.process.change import CommandAnswer, Configure
+from berylspool.process.consensus_message import Group, ProposeGroup
+from berylspool.process.repair import name_of
+from berylspool.process.settings import Settings
+from berylspool.process.view import ControlView, difference, rows_of
+from berylspool.version.language import (
+    AddControl,
+    ChangeConfiguration,
+    Command,
+    RemoveControl,
+    ReplaceControl,
+    Show,
+    parse,
+)
+from berylspool.version.move import Move
+from berylspool.version.operation import (
+    Operation,
+    ReplaceAll,
+    ReplaceMove,
+    apply_all,
+    operation_codec,
+)
+from berylspool.version.schema import to_configuration
+
+if TYPE_CHECKING:
+    from berylspool.process.control import Control
+
+__all__ = ["Desk", "initial_change", "move_change"]
+
+OPERATIONS = operation_codec()
+ANY_REVISION = -1
+
+
+def _configure(
+    command_id: str,
+    base_revision: int,
+    operations: tuple[Operation, ...],
+    text: str,
+    who: str,
+    at: float,
+) -> Configure:
+    encoded = OPERATIONS.encode(operations)[HEADER_BYTES:]
+    return Configure(command_id, base_revision, encoded, text, who, at)
+
+
+def initial_change(settings: Settings, at: float) -> Configure:
+    """Return the first change of a deployment."""
+    initial = ReplaceAll(to_configuration(settings.initial))
+    return _configure("initial", 0, (initial,), "initial", "settings", at)
+
+
+def move_change(before: Move, after: Move, at: float) -> Configure:
+    """Return the change that puts a stepped move in place."""
+    command_id = f"move/{after.route}/{after.state}/{after.stage}/{at}"
+    text = f"move {after.route}: {after.state}"
+    operation = ReplaceMove(before, after)
+    return _configure(
+        command_id, ANY_REVISION, (operation,), text, "overseer", at
+    )
+
+
+class Desk:
+    """Answers commands on behalf of a control task.
+
+    Args:
+        control: The task; the desk runs inside it.
+    """
+
+    def __init__(self, control: "Control") -> None:
+        self._control = control
+
+    async def handle(self, ask: Ask) -> None:
+        """Answer a command, or see that it will be answered."""
+        try:
+            command = parse(ask.text)
+            if not isinstance(command, Show) and ask.role != "change":
+                raise PermissionDeniedError("the token may only read")
+            if not self._control.replica.has_quorum_contact():
+                ask.reply.put(self._elsewhere())
+                return
+            reply = await self._run(ask, command)
+        except BerylspoolError as error:
+            reply = Failed(error)
+        if reply is not None:
+            ask.reply.put(reply)
+
+    def _elsewhere(self) -> Elsewhere:
+        leader = self._control.replica.leader
+        known = self._control.settings.controls.get(leader)
+        if known is None or leader == self._control.name:
+            return Elsewhere("", "")
+        return Elsewhere(leader, known.admin_address)
+
+    async def _run(self, ask: Ask, command: Command) -> AskReply | None:
+        match command:
+            case Show():
+                rows = rows_of(self._view(), command)
+                return Shown(rows, self._revision())
+            case ChangeConfiguration(operations=operations):
+                return self._change(ask, operations)
+            case AddControl() | ReplaceControl() | RemoveControl():
+                await self._change_group(command)
+                answer = CommandAnswer(ask.command_id, True, self._revision())
+                return Decided(answer)
+
+    def _revision(self) -> int:
+        return self._control.replica.state.configuration.revision
+
+    def _view(self) -> ControlView:
+        control = self._control
+        return ControlView(
+            control.replica.state,
+            control.membership,
+            control.overseer,
+            control.replica.node.group,
+            control.replica.leader,
+            control.replica.node.term,
+            time.monotonic(),
+            time.time(),
+        )
+
+    def _change(
+        self, ask: Ask, operations: tuple[Operation, ...]
+    ) -> AskReply | None:
+        before = self._control.replica.state.configuration
+        at = time.time()
+        if ask.is_dry_run:
+            after = apply_all(before, operations, at)
+            return Shown(difference(before, after), before.revision)
+        change = _configure(
+            ask.command_id,
+            ask.base_revision,
+            operations,
+            ask.text,
+            ask.role,
+            at,
+        )
+        self._control.submit(change, lambda answer: self._done(ask, answer))
+        return None
+
+    def _done(self, ask: Ask, answer: Any) -> None:
+        if not isinstance(answer, CommandAnswer):
+            # The leader changed; the same id may be sent to the next one.
+            ask.reply.put(self._elsewhere())
+        elif answer.is_accepted and ask.is_waiting:
+            self._control.wait_in_force(ask, answer)
+        else:
+            having, total, is_everywhere = membership.in_force(
+                self._control.membership, answer.revision, time.monotonic()
+            )
+            ask.reply.put(Decided(answer, having, total, is_everywhere))
+
+    async def _change_group(
+        self, command: AddControl | ReplaceControl | RemoveControl
+    ) -> None:
+        node = self._control.replica.node
+        before = node.group
+        after = self._changed_group(command, before)
+        await self._control.step(ProposeGroup(0, after))
+        if node.group == before:
+            raise NoLeaderError("a change of the group is pending; try again")
+
+    def _changed_group(
+        self,
+        command: AddControl | ReplaceControl | RemoveControl,
+        group: Group,
+    ) -> Group:
+        """Return the group after the first step of a command."""
+        members = (*group.voters, *group.learners)
+        known = [id for id in members if name_of(id) == command.name]
+        match command:
+            case AddControl(name=name):
+                if known:
+                    raise CommandError(f"control {name!r} is there already")
+                return self._with_learner(name, group)
+            case ReplaceControl(name=name):
+                if not known:
+                    raise UnknownNameError(f"control {name!r} does not exist")
+                return self._with_learner(name, group)
+            case RemoveControl(name=name):
+                if not known:
+                    raise UnknownNameError(f"control {name!r} does not exist")
+                voters = tuple(x for x in group.voters if x not in known)
+                if not voters:
+                    raise CommandError("the last voter must stay")
+                learners = tuple(x for x in group.learners if x not in known)
+                return Group(voters, learners)
+
+    def _with_learner(self, name: str, group: Group) -> Group:
+        id = self._control.announced_by_name.get(name)
+        if id is None or id in (*group.voters, *group.learners):
+            raise CommandError(
+                f"control {name!r} has not announced a new disk; start it"
+            )
+        return Group(group.voters, (*group.learners, id))
--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry.py
@@ -11,6 +11,12 @@
 from berylspool.connection.caller import CallerServer, EntryState
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError, UnknownRouteError
+from berylspool.process.control_client import (
+    ControlClient,
+    Drained,
+    Leave,
+    LedgerAsked,
+)
 from berylspool.process.current import Current
 from berylspool.process.event import ProcessStarted, ProcessStopped
 from berylspool.process.log import LogTask
@@ -28,6 +34,8 @@
     Settings,
     split_address,
 )
+from berylspool.process.tally import TallyBook, follow, observe, take
+from berylspool.request.command import CommandTask
 from berylspool.request.fingerprint import ticket
 from berylspool.request.query import Outcome, Query, Reason, Refusal
 from berylspool.request.serve import RequestTask
@@ -45,6 +53,7 @@
 
 VERSION = "0.1.0"
 DRAIN_CHECK_S = 0.02
+READINESS_CHECK_S = 0.1
 
 
 def tuning_of(settings: RoutingSettings, zone: str) -> Tuning:
@@ -93,11 +102,17 @@
         self.is_ready = Current(False)
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
+        self.control: ControlClient | None = None
+        self.lease_until = float("-inf")
+        self.is_closing = False
+        self.book = TallyBook()
         self.router = Router(
             Routing(name, Sharing(settings.routing.sharing)),
             tuning_of(settings.routing, self.own.zone),
             log=self.log.put,
             clock=clock,
+            drained=lambda epoch: self._drained(epoch),
+            observed=lambda observed: observe(self.book, observed),
         )
         self.state = EntryState(
             name,
@@ -120,17 +135,37 @@
             An answer or a refusal.
         """
         number = ticket(query.id)
+        configuration = self.configuration.value
         try:
-            pinned = pin(self.configuration.value, query.route, number)
+            pinned = pin(configuration, query.route, number, self.book.blocked)
         except UnknownRouteError:
             return Refusal(query.id, Reason.UNKNOWN_ROUTE, True, 0.0)
         request = RequestTask(query, self.router, self._clock)
+        if query.key is not None:
+            return await self._command(query, request).run(pinned)
         watcher = asyncio.ensure_future(_watch(gone, request))
         try:
             return await request.run(pinned)
         finally:
             watcher.cancel()
 
+    def _command(self, query: Query, request: RequestTask) -> CommandTask:
+        return CommandTask(
+            query,
+            request,
+            ask=self._ask_ledger,
+            clock=self._clock,
+            log=self.log.put,
+        )
+
+    def _ask_ledger(self, asked: LedgerAsked) -> None:
+        if self.control is not None:
+            self.control.inbox.put(asked)
+
+    def _drained(self, epoch: int) -> None:
+        if self.control is not None:
+            self.control.inbox.put(Drained(epoch))
+
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a task until the entry closes."""
         self._tasks.append(asyncio.ensure_future(coroutine))
@@ -141,11 +176,41 @@
         self.spawn(self.router.run())
         host, port = split_address(self.own.peer_address)
         self.router.server.listen(port, host)
-        self._start_alone()
+        if self.settings.controls:
+            self._start_client()
+        else:
+            self._start_alone()
         host, port = split_address(self.own.address)
         self.callers.listen(host, port)
         self.log.put(ProcessStarted("entry", self.name, VERSION))
 
+    def _start_client(self) -> None:
+        """Take configuration, lease and members from control."""
+        peer = split_address(self.own.peer_address)
+        self.control = ControlClient(
+            Member(self.name, *peer),
+            self.state.nonce,
+            self.settings,
+            clock=self._clock,
+            log=self.log.put,
+            applied=self.apply,
+            leased=self._leased,
+            seated=lambda table: self.router.inbox.put(TableChanged(table)),
+            tallies=lambda: take(self.book),
+        )
+        self.spawn(self.control.run())
+        self.spawn(self._watch_readiness())
+
+    def _leased(self, until: float) -> None:
+        self.lease_until = until
+        self.router.inbox.put(LeaseSet(until))
+
+    async def _watch_readiness(self) -> None:
+        """Be ready while the lease is held and the process is not closing."""
+        while not self.is_closing:
+            self.is_ready.publish(self._clock() < self.lease_until)
+            await asyncio.sleep(READINESS_CHECK_S)
+
     def _start_alone(self) -> None:
         """Take the settings as the configuration, without control."""
         configuration = to_configuration(self.settings.initial)
@@ -155,22 +220,25 @@
             for name, entry in self.settings.entries.items()
         }
         table = MemberTable(1, True, member_by_name)
-        self.router.inbox.put(LeaseSet(True))
+        self.router.inbox.put(LeaseSet(float("inf")))
         self.router.inbox.put(TableChanged(table))
         self.is_ready.publish(True)
 
     def apply(self, configuration: Configuration) -> None:
         """Put a configuration in force at this entry."""
         self.configuration.publish(configuration)
+        follow(self.book, configuration.move_by_route)
         self.router.inbox.put(ConfigurationChanged(configuration))
 
     async def stop(self) -> None:
         """Finish what is in flight, then close."""
+        self.is_closing = True
         self.is_ready.publish(False)
         await asyncio.sleep(self.own.notice_s)
-        self.router.inbox.put(ShuttingDown())
+        self.callers.stop_listening()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self.own.drain_s):
+                await self._hand_over()
                 while self.state.in_flight:
                     await asyncio.sleep(DRAIN_CHECK_S)
                 await self.callers.close()
@@ -180,6 +248,19 @@
         self.log.put(ProcessStopped("entry", self.name))
         self.log.close()
 
+    async def _hand_over(self) -> None:
+        """Give the services to the other entries, then take no new parts."""
+        if self.control is not None:
+            self.control.inbox.put(Leave())
+            while self._is_owner():
+                await asyncio.sleep(DRAIN_CHECK_S)
+        self.router.inbox.put(ShuttingDown())
+
+    def _is_owner(self) -> bool:
+        others = self.router.table.value.member_by_name.keys() - {self.name}
+        is_member = self.name in self.router.table.value.member_by_name
+        return bool(others) and is_member
+
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT."""
         stopping = asyncio.Event()
--- /dev/null
+++ b/berylspool/process/membership.py
@@ -0,0 +1,262 @@
+"""Decisions of the control leader about the table of members.
+
+A new table is proposed first and becomes active once every member of the
+former one has drained what it no longer owns, or can no longer hold a lease.
+So no two entries admit for one service at once.  A new leader waits for a
+whole lease before it takes anybody for dead, because leases that the former
+leader granted may still run.  Leases as in Gray and Cheriton, SOSP 1989.
+"""
+
+from dataclasses import dataclass, field
+
+from berylspool.connection.message import Member, MemberTable
+
+__all__ = [
+    "EntryView",
+    "Heard",
+    "Led",
+    "Membership",
+    "MembershipEvent",
+    "ProposeTable",
+    "Seated",
+    "Ticked",
+    "in_force",
+    "step",
+]
+
+EPOCHS_PER_TERM = 1 << 24
+LEASE_MARGIN_S = 1.0
+CALM_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """A heartbeat of an entry.
+
+    Attributes:
+        member: The entry.
+        boot: Unique for each start of its process.
+        revision: Configuration that is in force there.
+        drained_epoch: Newest proposed table that it has drained for.
+        is_leaving: Whether it shuts down.
+    """
+
+    member: Member
+    boot: str
+    revision: int
+    drained_epoch: int
+    is_leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Led:
+    """This node leads in a term, with the tables that the log holds."""
+
+    term: int
+
+
+@dataclass(frozen=True, slots=True)
+class Seated:
+    """A table was committed."""
+
+    active: MemberTable
+    proposed: MemberTable | None
+
+
+@dataclass(frozen=True, slots=True)
+class Ticked:
+    """Time has passed."""
+
+
+MembershipEvent = Heard | Led | Seated | Ticked
+
+
+@dataclass(frozen=True, slots=True)
+class ProposeTable:
+    """Commit a table."""
+
+    table: MemberTable
+
+
+@dataclass(slots=True)
+class EntryView:
+    """What the leader knows of an entry."""
+
+    member: Member
+    boot: str
+    heard_at: float
+    revision: int = 0
+    drained_epoch: int = 0
+    is_leaving: bool = False
+
+
+@dataclass(slots=True)
+class Membership:
+    """State of the leader's membership.
+
+    Attributes:
+        lease_s: Length of an entry's lease.
+        term: Term in which this node leads.
+        led_at: Moment it began to lead, monotonic seconds.
+        active: Table whose owners admit.
+        proposed: Newer table that is not active yet.
+        view_by_name: Entries that were heard.
+        pending_epoch: Table that was proposed to the log but not seated.
+        differs_since: Moment since when the entries differ from the table.
+    """
+
+    lease_s: float
+    term: int = 0
+    led_at: float = 0.0
+    active: MemberTable = field(default_factory=MemberTable)
+    proposed: MemberTable | None = None
+    view_by_name: dict[str, EntryView] = field(default_factory=dict)
+    pending_epoch: int = 0
+    differs_since: float | None = None
+
+
+def step(
+    membership: Membership, event: MembershipEvent, now: float
+) -> list[ProposeTable]:
+    """Apply one event.
+
+    Args:
+        membership: State to change in place.
+        event: What happened.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Tables to commit; none while this node does not lead.
+    """
+    match event:
+        case Heard():
+            _hear(membership, event, now)
+            return []
+        case Led(term=term):
+            membership.term = term
+            membership.led_at = now
+            membership.pending_epoch = 0
+            membership.differs_since = None
+            return []
+        case Seated(active=active, proposed=proposed):
+            membership.active = active
+            membership.proposed = proposed
+            return []
+        case Ticked():
+            return _decide(membership, now)
+
+
+def in_force(
+    membership: Membership, revision: int, now: float
+) -> tuple[int, int, bool]:
+    """Return where a revision is in force.
+
+    Args:
+        membership: State of the leader.
+        revision: Revision to look for.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Entries that have it, entries that may hold a lease, and whether it
+        is in force everywhere.  An entry whose lease has run out takes no
+        new work and does not count.
+    """
+    live = [
+        view
+        for view in membership.view_by_name.values()
+        if not _is_expired(membership, view.member.name, now)
+    ]
+    having = sum(view.revision >= revision for view in live)
+    is_settled = now - membership.led_at > _expiry_s(membership)
+    return having, len(live), is_settled and having == len(live)
+
+
+def _hear(membership: Membership, event: Heard, now: float) -> None:
+    name = event.member.name
+    view = membership.view_by_name.get(name)
+    if view is None or view.boot != event.boot:
+        view = EntryView(event.member, event.boot, now)
+        membership.view_by_name[name] = view
+    view.member = event.member
+    view.heard_at = now
+    view.revision = event.revision
+    view.drained_epoch = event.drained_epoch
+    view.is_leaving = event.is_leaving
+
+
+def _expiry_s(membership: Membership) -> float:
+    return membership.lease_s + LEASE_MARGIN_S
+
+
+def _is_expired(membership: Membership, name: str, now: float) -> bool:
+    """Return whether an entry can no longer hold a lease."""
+    view = membership.view_by_name.get(name)
+    heard_at = view.heard_at if view else float("-inf")
+    # Another leader may have granted a lease until this one began to lead.
+    granted_at = max(heard_at, membership.led_at)
+    return now - granted_at > _expiry_s(membership)
+
+
+def _decide(membership: Membership, now: float) -> list[ProposeTable]:
+    newest = max(
+        membership.active.epoch,
+        membership.proposed.epoch if membership.proposed else 0,
+    )
+    if membership.pending_epoch > newest:
+        return []
+    if membership.proposed is not None:
+        return _activate(membership, membership.proposed, now)
+    return _propose(membership, newest, now)
+
+
+def _activate(
+    membership: Membership, proposed: MemberTable, now: float
+) -> list[ProposeTable]:
+    former = membership.active.member_by_name
+    waits = [
+        name
+        for name in former
+        if not _has_drained(membership, name, proposed.epoch)
+        and not _is_expired(membership, name, now)
+    ]
+    if waits:
+        return []
+    epoch = _next_epoch(membership, proposed.epoch)
+    table = MemberTable(epoch, True, proposed.member_by_name)
+    membership.pending_epoch = epoch
+    return [ProposeTable(table)]
+
+
+def _has_drained(membership: Membership, name: str, epoch: int) -> bool:
+    view = membership.view_by_name.get(name)
+    return view is not None and view.drained_epoch >= epoch
+
+
+def _propose(
+    membership: Membership, newest: int, now: float
+) -> list[ProposeTable]:
+    wanted = {
+        view.member.name: view.member
+        for view in membership.view_by_name.values()
+        if not view.is_leaving and now - view.heard_at <= membership.lease_s
+    }
+    current = membership.active.member_by_name
+    is_settled = now - membership.led_at > _expiry_s(membership)
+    if not is_settled:
+        # Nobody is dropped before the leases of the former leader are over.
+        wanted = {**current, **wanted}
+    if wanted == current:
+        membership.differs_since = None
+        return []
+    if membership.differs_since is None:
+        membership.differs_since = now
+    if now - membership.differs_since < CALM_S:
+        return []
+    membership.differs_since = None
+    epoch = _next_epoch(membership, newest)
+    membership.pending_epoch = epoch
+    return [ProposeTable(MemberTable(epoch, False, wanted))]
+
+
+def _next_epoch(membership: Membership, newest: int) -> int:
+    return max(newest + 1, membership.term * EPOCHS_PER_TERM)
--- /dev/null
+++ b/berylspool/process/operator.py
@@ -0,0 +1,236 @@
+"""The operators' client: sends commands to the leader and prints answers."""
+
+import asyncio
+import sys
+import urllib.parse
+import uuid
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+from prompt_toolkit import PromptSession
+from prompt_toolkit.completion import Completer, Completion
+from prompt_toolkit.history import FileHistory
+from rich.console import Console
+from rich.progress import Progress, SpinnerColumn, TextColumn
+from rich.table import Table
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
+
+from berylspool.exception import CommandError, NoLeaderError
+from berylspool.process.settings import Settings
+from berylspool.version.language import Show, expected_words, parse
+
+__all__ = ["Options", "OperatorClient", "interact", "print_answer"]
+
+REQUEST_TIMEOUT_S = 45.0
+RETRY_S = 0.3
+TRIES = 20
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_CONFLICT = 3
+STATUS_CONFLICT = 409
+STATUS_ELSEWHERE = 421
+HISTORY_FILE = "~/.berylspool_history"
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """How commands are sent.
+
+    Attributes:
+        token: Administration token, or empty.
+        is_waiting: Whether to wait until a change is in force everywhere.
+        is_dry_run: Whether to say only what would change.
+        is_json: Whether to print JSON.
+        command_id: Id of the command; a resend has the same one.
+        base_revision: Revision that it is based on; None reads the
+            current one first.
+    """
+
+    token: str = ""
+    is_waiting: bool = False
+    is_dry_run: bool = False
+    is_json: bool = False
+    command_id: str = ""
+    base_revision: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Status and body of an answer."""
+
+    status: int
+    body: dict[str, Any]
+
+
+class OperatorClient:
+    """Sends commands to whichever control node leads.
+
+    Args:
+        settings: Settings of the deployment.
+        options: How to send.
+    """
+
+    def __init__(self, settings: Settings, options: Options) -> None:
+        self._addresses = [
+            control.admin_address for control in settings.controls.values()
+        ]
+        self._options = options
+
+    async def run(self, text: str) -> Reply:
+        """Run one command and return its answer.
+
+        The id stays the same over all tries, so a command whose answer was
+        lost is not applied twice.
+
+        Raises:
+            CommandError: The command does not follow the grammar.
+            NoLeaderError: No control node has answered as leader in time.
+        """
+        command = parse(text)
+        options = self._options
+        base = -1
+        if not isinstance(command, Show):
+            base = await self._base_revision()
+        body = {
+            "command": text,
+            "id": options.command_id or uuid.uuid4().hex,
+            "base_revision": base,
+            "wait": options.is_waiting,
+            "dry_run": options.is_dry_run,
+        }
+        return await self._send(body)
+
+    async def fetch_state(self) -> bytes:
+        """Return a backup of the replicated state from the leader.
+
+        Raises:
+            NoLeaderError: No leader has answered in time.
+        """
+        for _ in range(TRIES):
+            for address in self._addresses:
+                status, body = await self._fetch(address, "/v1/backup", None)
+                if status == 200:
+                    return body
+            await asyncio.sleep(RETRY_S)
+        raise NoLeaderError("no control node leads")
+
+    async def _base_revision(self) -> int:
+        if self._options.base_revision is not None:
+            return self._options.base_revision
+        reply = await self._send({"command": "show status"})
+        return reply.body["revision"]
+
+    async def _send(self, body: dict[str, Any]) -> Reply:
+        data = orjson.dumps(body)
+        address = self._addresses[0]
+        for number in range(TRIES):
+            status, answer = await self._fetch(address, "/v1/command", data)
+            if status not in (0, STATUS_ELSEWHERE):
+                return Reply(status, orjson.loads(answer))
+            leader = orjson.loads(answer).get("address") if answer else ""
+            if not leader:
+                await asyncio.sleep(RETRY_S)
+                count = len(self._addresses)
+                leader = self._addresses[(number + 1) % count]
+            address = leader
+        raise NoLeaderError("no control node leads")
+
+    async def _fetch(
+        self, address: str, path: str, data: bytes | None
+    ) -> tuple[int, bytes]:
+        """Return status and body; status 0 if nobody answered."""
+        url = urllib.parse.urlunsplit(("http", address, path, "", ""))
+        headers = {"Authorization": f"Bearer {self._options.token}"}
+        try:
+            response = await AsyncHTTPClient().fetch(
+                url,
+                method="GET" if data is None else "POST",
+                body=data,
+                headers=headers,
+                request_timeout=REQUEST_TIMEOUT_S,
+                raise_error=False,
+            )
+        except (OSError, HTTPClientError):
+            return 0, b""
+        if response.code == 599:
+            return 0, b""
+        return response.code, response.body
+
+
+def print_answer(reply: Reply, is_json: bool) -> int:
+    """Print an answer and return the exit code."""
+    body = reply.body
+    if is_json:
+        sys.stdout.write(orjson.dumps(body).decode() + "\n")
+    elif "rows" in body:
+        _print_rows(body["rows"])
+    elif body.get("accepted"):
+        force = body["in_force"]
+        where = "everywhere" if force["everywhere"] else "not yet everywhere"
+        print(
+            f"accepted at revision {body['revision']}; in force at "
+            f"{force['entries']} of {force['of']} entries, {where}"
+        )
+    else:
+        message = body.get("message") or body.get("details", "")
+        sys.stderr.write(f"{body.get('error')}: {message}\n")
+    if reply.status == STATUS_CONFLICT:
+        return EXIT_CONFLICT
+    return EXIT_OK if reply.status == 200 else EXIT_REFUSED
+
+
+def _print_rows(rows: list[dict[str, Any]]) -> None:
+    if not rows:
+        print("nothing")
+        return
+    table = Table(*rows[0])
+    for row in rows:
+        table.add_row(*(str(value) for value in row.values()))
+    Console().print(table)
+
+
+async def run_with_progress(
+    client: OperatorClient, text: str, options: Options
+) -> Reply:
+    """Run a command and show that it is waited for."""
+    is_shown = isinstance(parse(text), Show)
+    if is_shown or not options.is_waiting or options.is_json:
+        return await client.run(text)
+    columns = (SpinnerColumn(), TextColumn("{task.description}"))
+    with Progress(*columns, console=Console(stderr=True)) as progress:
+        progress.add_task("waiting until it is in force everywhere")
+        return await client.run(text)
+
+
+class WordCompleter(Completer):
+    """Completes the words that the grammar allows next."""
+
+    def get_completions(self, document: Any, complete_event: Any) -> Any:
+        """Yield the words that may stand at the cursor."""
+        text = document.text_before_cursor
+        head, _, word = text.rpartition(" ")
+        for candidate in expected_words(head):
+            if candidate.startswith(word) and " " not in candidate:
+                yield Completion(candidate, start_position=-len(word))
+
+
+async def interact(client: OperatorClient, options: Options) -> None:
+    """Read commands from the terminal until its end."""
+    path = Path(HISTORY_FILE).expanduser()
+    session: PromptSession[str] = PromptSession(
+        history=FileHistory(str(path)), completer=WordCompleter()
+    )
+    while True:
+        try:
+            text = await session.prompt_async("berylspool> ")
+        except (EOFError, KeyboardInterrupt):
+            return
+        if not text.strip():
+            continue
+        try:
+            reply = await run_with_progress(client, text, options)
+            print_answer(reply, options.is_json)
+        except (CommandError, NoLeaderError) as error:
+            print(f"{type(error).__name__}: {error}")
--- /dev/null
+++ b/berylspool/process/overseer.py
@@ -0,0 +1,85 @@
+"""Oversight of moves: sums over all entries, judgement, next stage."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from berylspool.connection.control_message import Tally
+from berylspool.version import move as moves
+from berylspool.version.configuration import (
+    Configuration,
+    serving_upstreams,
+)
+from berylspool.version.judge import Judge, add_tally, judge, restart
+from berylspool.version.move import Move, Verdict
+
+__all__ = ["Overseer", "add", "step"]
+
+
+@dataclass(slots=True)
+class Overseer:
+    """State of the oversight.
+
+    Attributes:
+        judge_by_route: Observations of each route since its stage began.
+        stage_by_route: Stage that they belong to.
+    """
+
+    judge_by_route: dict[str, Judge] = field(default_factory=dict)
+    stage_by_route: dict[str, tuple[str, int]] = field(default_factory=dict)
+
+
+def add(overseer: Overseer, tallies: Iterable[Tally]) -> None:
+    """Add what an entry saw."""
+    for tally in tallies:
+        observed = overseer.judge_by_route.setdefault(tally.route, Judge())
+        add_tally(
+            observed,
+            tally.version,
+            tally.answered,
+            tally.failed,
+            tally.latency,
+        )
+
+
+def step(
+    overseer: Overseer, configuration: Configuration, now: float
+) -> list[tuple[Move, Move]]:
+    """Step every move.
+
+    Args:
+        overseer: State to change in place.
+        configuration: Newest committed configuration.
+        now: Seconds since the epoch.
+
+    Returns:
+        Moves that change, before and after.
+    """
+    changed = []
+    for route, move in configuration.move_by_route.items():
+        if move.state in moves.ENDED:
+            continue
+        observed = overseer.judge_by_route.setdefault(route, Judge())
+        stage = (move.state.value, move.stage)
+        if overseer.stage_by_route.get(route) != stage:
+            overseer.stage_by_route[route] = stage
+            restart(observed)
+        verdict, cause = judge(observed, move.old, move.new)
+        if move.state is moves.MoveState.PREPARED:
+            verdict = Verdict.OPEN
+        ready = _is_ready(configuration, move)
+        after = moves.step(move, moves.Ticked(verdict, cause, ready), now)
+        if after is not move:
+            changed.append((move, after))
+    return changed
+
+
+def _is_ready(configuration: Configuration, move: Move) -> bool:
+    """Return whether the new version has an upstream for each shard."""
+    route = configuration.route_by_name[move.route]
+    version = route.version_by_name.get(move.new)
+    if version is None:
+        return False
+    return all(
+        serving_upstreams(configuration, service, version.name)
+        for service in version.services
+    )
--- a/berylspool/process/router.py
+++ b/berylspool/process/router.py
@@ -14,6 +14,7 @@
 )
 from berylspool.connection.peer import Link, LinkServer, Session
 from berylspool.exception import ProtocolError
+from berylspool.process.current import Current
 from berylspool.process.event import (
     Event,
     LinkChanged,
@@ -103,6 +104,7 @@
     ) -> None:
         self.inbox: Mailbox[RouterMessage] = Mailbox()
         self.routing = routing
+        self.table = Current(routing.active)
         self.pool_by_key: dict[PoolKey, PoolTask] = {}
         self.server = LinkServer(
             peer_codec(), sink=self._heard, closed=self._session_ended
@@ -138,6 +140,7 @@
                 for action in step(self.routing, message, self._clock()):
                     self._perform(action)
                 if isinstance(message, TableChanged):
+                    self.table.publish(self.routing.active)
                     self._match_links(message)
 
     def _perform(self, action: RoutingAction) -> None:
--- a/berylspool/process/routing.py
+++ b/berylspool/process/routing.py
@@ -29,6 +29,7 @@
     Blame,
     Blamed,
     Closing,
+    Leased,
     PartArrived,
     PartCancelled,
     PoolEvent,
@@ -150,9 +151,9 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseSet:
-    """The lease was gained or has expired."""
+    """The lease runs until a moment, in monotonic seconds."""
 
-    is_held: bool
+    until: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -281,7 +282,8 @@
         configuration: Configuration in force.
         active: Table whose owners admit.
         proposed: Newer table that is not active yet.
-        has_lease: Whether new work may be taken.
+        lease_until: No new work is taken from this moment on, monotonic
+            seconds.
         is_shutting_down: Whether the process takes no new parts.
         pending_by_part: Parts whose result is awaited.
         held: Parts that wait for an owner.
@@ -297,7 +299,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     active: MemberTable = field(default_factory=MemberTable)
     proposed: MemberTable | None = None
-    has_lease: bool = False
+    lease_until: float = 0.0
     is_shutting_down: bool = False
     pending_by_part: dict[str, Pending] = field(default_factory=dict)
     held: list[str] = field(default_factory=list)
@@ -342,9 +344,12 @@
             return _table(routing, table, now)
         case ConfigurationChanged(configuration=configuration):
             return _configure(routing, configuration)
-        case LeaseSet(is_held=is_held):
-            routing.has_lease = is_held
-            return []
+        case LeaseSet(until=until):
+            routing.lease_until = max(routing.lease_until, until)
+            return [
+                ToPool(key, Leased(routing.lease_until))
+                for key in sorted(routing.pool_keys)
+            ]
         case PoolDrained(key=key):
             return _drained(routing, key)
         case BlameRaised(blame=blame):
@@ -377,7 +382,7 @@
 def _want(
     routing: Routing, origin: Origin, part: Part, now: float
 ) -> list[RoutingAction]:
-    refusal = _refusal(routing, origin, part)
+    refusal = _refusal(routing, origin, part, now)
     if refusal is not None:
         refused = PartRefused(part.id, refusal, RETRY_AFTER_S)
         return [ToOrigin(origin, refused)]
@@ -391,8 +396,10 @@
     return _place(routing, pending, now)
 
 
-def _refusal(routing: Routing, origin: Origin, part: Part) -> Reason | None:
-    if not routing.has_lease:
+def _refusal(
+    routing: Routing, origin: Origin, part: Part, now: float
+) -> Reason | None:
+    if now >= routing.lease_until:
         return Reason.LEASE_EXPIRED
     if origin.is_session and owner(routing, part.service) != routing.name:
         return Reason.NO_OWNER
@@ -425,7 +432,11 @@
     if key in routing.pool_keys:
         return []
     routing.pool_keys.add(key)
-    return [StartPool(key), ToPool(key, _reconfigured(routing, key))]
+    return [
+        StartPool(key),
+        ToPool(key, Leased(routing.lease_until)),
+        ToPool(key, _reconfigured(routing, key)),
+    ]
 
 
 def _reconfigured(routing: Routing, key: PoolKey) -> Reconfigured:
--- /dev/null
+++ b/berylspool/process/view.py
@@ -0,0 +1,271 @@
+"""Rows that `show` prints: what holds now, as the control leader sees it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from berylspool.process import membership
+from berylspool.process.change import ControlState
+from berylspool.process.consensus_message import Group
+from berylspool.process.overseer import Overseer
+from berylspool.version.configuration import Configuration
+from berylspool.version.judge import Judge, evidence
+from berylspool.version.language import Condition, Show
+from berylspool.version.move import traffic_share
+
+__all__ = ["ControlView", "Row", "difference", "rows_of"]
+
+Row = dict[str, Any]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlView:
+    """Everything that `show` reads.
+
+    Attributes:
+        state: Replicated state.
+        membership: Entries that this node has heard.
+        overseer: Observations of moves.
+        group: Control nodes.
+        leader: Name of the leader.
+        term: Its term.
+        now: Monotonic time in seconds.
+        wall: Seconds since the epoch.
+    """
+
+    state: ControlState
+    membership: membership.Membership
+    overseer: Overseer
+    group: Group
+    leader: str
+    term: int
+    now: float
+    wall: float
+
+
+def rows_of(view: ControlView, show: Show) -> list[Row]:
+    """Return the rows of a subject that meet all conditions.
+
+    Args:
+        view: What holds.
+        show: Subject and conditions.
+
+    Returns:
+        Rows with the same columns, in a stable order.
+    """
+    rows = ROWS_BY_SUBJECT[show.subject](view)
+    return [row for row in rows if all(_meets(row, c) for c in show.conditions)]
+
+
+def difference(before: Configuration, after: Configuration) -> list[Row]:
+    """Return what a change would change, for a dry run."""
+    pairs = (
+        ("zone", before.zone_by_name, after.zone_by_name),
+        ("service", before.service_by_name, after.service_by_name),
+        ("route", before.route_by_name, after.route_by_name),
+        ("move", before.move_by_route, after.move_by_route),
+    )
+    return [
+        {
+            "kind": kind,
+            "name": name,
+            "before": str(old.get(name, "")),  # type: ignore[attr-defined]
+            "after": str(new.get(name, "")),  # type: ignore[attr-defined]
+        }
+        for kind, old, new in pairs
+        for name in sorted({*old, *new})
+        if old.get(name) != new.get(name)  # type: ignore[attr-defined]
+    ]
+
+
+def _meets(row: Row, condition: Condition) -> bool:
+    text = str(row.get(condition.column, ""))
+    match condition.operator:
+        case "=":
+            return text == condition.value
+        case "!=":
+            return text != condition.value
+        case _:
+            return condition.value in text
+
+
+def _services(view: ControlView) -> list[Row]:
+    return [
+        {
+            "service": service.name,
+            "zones": ",".join(service.zones) or "all",
+            "upstreams": len(service.upstream_by_id),
+            "versions": ",".join(
+                sorted({u.version for u in service.upstream_by_id.values()})
+            ),
+        }
+        for service in view.state.configuration.service_by_name.values()
+    ]
+
+
+def _zones(view: ControlView) -> list[Row]:
+    upstreams = [
+        upstream
+        for service in view.state.configuration.service_by_name.values()
+        for upstream in service.upstream_by_id.values()
+    ]
+    return [
+        {
+            "zone": zone.name,
+            "state": str(zone.state),
+            "upstreams": sum(u.zone == zone.name for u in upstreams),
+        }
+        for zone in view.state.configuration.zone_by_name.values()
+    ]
+
+
+def _versions(view: ControlView) -> list[Row]:
+    return [
+        {
+            "route": route.name,
+            "version": version.name,
+            "partition": version.partition,
+            "shards": len(version.services),
+            "stable": version.name == route.stable,
+            "blocked": version.name in route.blocked,
+        }
+        for route in view.state.configuration.route_by_name.values()
+        for version in route.version_by_name.values()
+    ]
+
+
+def _routes(view: ControlView) -> list[Row]:
+    return [
+        {
+            "route": route.name,
+            "stable": route.stable,
+            "versions": ",".join(route.version_by_name),
+            "blocked": ",".join(route.blocked),
+        }
+        for route in view.state.configuration.route_by_name.values()
+    ]
+
+
+def _upstreams(view: ControlView) -> list[Row]:
+    return [
+        {
+            "upstream": upstream.id,
+            "service": service.name,
+            "address": f"{upstream.host}:{upstream.port}",
+            "zone": upstream.zone,
+            "version": upstream.version,
+            "state": str(upstream.state),
+        }
+        for service in view.state.configuration.service_by_name.values()
+        for upstream in service.upstream_by_id.values()
+    ]
+
+
+def _moves(view: ControlView) -> list[Row]:
+    rows = []
+    for move in view.state.configuration.move_by_route.values():
+        observed = view.overseer.judge_by_route.get(move.route, Judge())
+        samples, failures, percentile_ms = evidence(observed, move.new)
+        rows.append(
+            {
+                "route": move.route,
+                "old": move.old,
+                "new": move.new,
+                "state": str(move.state),
+                "share": traffic_share(move),
+                "samples": samples,
+                "failures": failures,
+                "p95_ms": round(percentile_ms, 1),
+                "left_s": round(max(0.0, move.deadline_at - view.wall), 1),
+                "late": move.is_late,
+                "cause": move.cause,
+            }
+        )
+    return rows
+
+
+def _members(view: ControlView) -> list[Row]:
+    active = view.state.active.member_by_name
+    return [
+        {
+            "entry": name,
+            "state": "leaving" if entry.is_leaving else "live",
+            "owner": name in active,
+            "revision": entry.revision,
+            "heard_s": round(view.now - entry.heard_at, 2),
+            "peer": f"{entry.member.host}:{entry.member.port}",
+        }
+        for name, entry in sorted(view.membership.view_by_name.items())
+    ]
+
+
+def _limits(view: ControlView) -> list[Row]:
+    return [
+        {
+            "service": service.name,
+            "slots": service.limits.slots,
+            "connections": service.limits.connections,
+            "cold_slots": service.limits.cold_slots,
+            "ramp_s": service.limits.ramp_s,
+        }
+        for service in view.state.configuration.service_by_name.values()
+    ]
+
+
+def _history(view: ControlView) -> list[Row]:
+    return [
+        {
+            "revision": item.revision,
+            "at": item.at,
+            "who": item.who,
+            "what": item.text,
+        }
+        for item in view.state.history
+    ]
+
+
+def _controls(view: ControlView) -> list[Row]:
+    members = [(id, "voter") for id in view.group.voters]
+    members += [(id, "learner") for id in view.group.learners]
+    return [
+        {
+            "control": id.rpartition(".")[0],
+            "id": id,
+            "kind": kind,
+            "leader": id.rpartition(".")[0] == view.leader,
+        }
+        for id, kind in members
+    ]
+
+
+def _status(view: ControlView) -> list[Row]:
+    revision = view.state.configuration.revision
+    having, total, is_everywhere = membership.in_force(
+        view.membership, revision, view.now
+    )
+    return [
+        {
+            "leader": view.leader,
+            "term": view.term,
+            "revision": revision,
+            "in_force": f"{having} of {total}",
+            "everywhere": is_everywhere,
+            "epoch": view.state.active.epoch,
+            "ledger_keys": len(view.state.entry_by_key),
+        }
+    ]
+
+
+ROWS_BY_SUBJECT: dict[str, Callable[[ControlView], list[Row]]] = {
+    "services": _services,
+    "zones": _zones,
+    "versions": _versions,
+    "routes": _routes,
+    "upstreams": _upstreams,
+    "moves": _moves,
+    "members": _members,
+    "limits": _limits,
+    "history": _history,
+    "controls": _controls,
+    "status": _status,
+}
--- /dev/null
+++ b/berylspool/request/command.py
@@ -0,0 +1,131 @@
+"""The command task: a request that may not be repeated.
+
+The intent is durable on a quorum before the first byte goes to an upstream.
+A resend, at whichever entry, gets the recorded outcome or `unknown`.
+"""
+
+import time
+from collections.abc import Callable
+
+from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.outcome import decode_answer, encode_answer
+from berylspool.process.change import (
+    Intend,
+    LedgerDecision,
+    LedgerReply,
+    Settle,
+    SettleKind,
+)
+from berylspool.process.control_client import LedgerAsked
+from berylspool.process.event import CommandDecided, Event
+from berylspool.request.fanout import Pinned
+from berylspool.request.query import (
+    Answer,
+    Outcome,
+    Query,
+    Reason,
+    Refusal,
+)
+from berylspool.request.serve import RequestTask
+
+__all__ = ["CommandTask", "settle_kind"]
+
+SETTLE_WAIT_S = 1.0
+RETRY_AFTER_S = 1.0
+
+
+def settle_kind(outcome: Outcome) -> SettleKind:
+    """Return how the ledger records an outcome.
+
+    Examples:
+        >>> settle_kind(Refusal("r", Reason.OVERLOAD, True, 0.1))
+        <SettleKind.NOT_RUN: 'not_run'>
+    """
+    match outcome:
+        case Answer(coverage=coverage) if coverage.is_whole:
+            return SettleKind.ANSWERED
+        case Refusal(not_run=True):
+            return SettleKind.NOT_RUN
+        case _:
+            return SettleKind.UNKNOWN
+
+
+class CommandTask:
+    """Task that takes one command through the ledger and to its upstream.
+
+    Args:
+        query: The command; its key is set.
+        request: Task that sends it once it is granted.
+        ask: Hands a question to the ledger.
+        clock: Monotonic time in seconds.
+        log: Takes log events.
+    """
+
+    def __init__(
+        self,
+        query: Query,
+        request: RequestTask,
+        *,
+        ask: Callable[[LedgerAsked], None],
+        clock: Callable[[], float],
+        log: Callable[[Event], None],
+    ) -> None:
+        self._query = query
+        self._request = request
+        self._ask = ask
+        self._clock = clock
+        self._log = log
+
+    async def run(self, pinned: Pinned) -> Outcome:
+        """Run the command at most once.
+
+        Args:
+            pinned: Partition map of the route; it has one shard.
+
+        Returns:
+            Its outcome, or the recorded one of an earlier send.
+        """
+        query = self._query
+        key = query.key or ""
+        if len(pinned.services) != 1:
+            return Refusal(query.id, Reason.INVALID, True, 0.0)
+        intend = Intend(key, query.fingerprint, query.id, time.time())
+        reply = await self._asked(intend, query.deadline - self._clock())
+        if reply is None:
+            # The intent may be durable, but this entry will not act on it.
+            self._abandon(key)
+            self._log(CommandDecided(key, "no_control"))
+            return Refusal(query.id, Reason.NO_CONTROL, True, RETRY_AFTER_S)
+        self._log(CommandDecided(key, reply.decision))
+        match reply.decision:
+            case LedgerDecision.GRANTED:
+                return await self._run_granted(pinned, key)
+            case LedgerDecision.RECORDED:
+                return decode_answer(reply.body)
+            case LedgerDecision.KEY_REUSED:
+                return Refusal(query.id, Reason.KEY_REUSED, True, 0.0)
+            case _:
+                return Refusal(
+                    query.id, Reason.IN_PROGRESS, False, RETRY_AFTER_S
+                )
+
+    async def _run_granted(self, pinned: Pinned, key: str) -> Outcome:
+        outcome = await self._request.run(pinned)
+        kind = settle_kind(outcome)
+        body = encode_answer(outcome) if isinstance(outcome, Answer) else b""
+        settle = Settle(key, self._query.id, kind, body)
+        if kind is not SettleKind.UNKNOWN:
+            await self._asked(settle, SETTLE_WAIT_S)
+        return outcome
+
+    def _abandon(self, key: str) -> None:
+        settle = Settle(key, self._query.id, SettleKind.NOT_RUN)
+        self._ask(LedgerAsked(settle, Mailbox()))
+
+    async def _asked(
+        self, request: Intend | Settle, timeout_s: float
+    ) -> LedgerReply | None:
+        inbox: Mailbox[LedgerReply] = Mailbox()
+        self._ask(LedgerAsked(request, inbox))
+        replies = await inbox.take(max(timeout_s, 0.0))
+        return replies[0] if replies else None
--- a/berylspool/version/admission.py
+++ b/berylspool/version/admission.py
@@ -22,6 +22,7 @@
     ConnectionClosed,
     ConnectionOpened,
     HealthReported,
+    Leased,
     PartArrived,
     PartCancelled,
     PoolAction,
@@ -102,6 +103,9 @@
             actions = _blamed(pool, fingerprint, verdict, now)
         case Reconfigured(upstreams=upstreams, limits=limits):
             actions = reconfigure(pool, upstreams, limits)
+        case Leased(until=until):
+            pool.lease_until = until
+            actions = []
         case Closing():
             actions = _close(pool)
         case Woken():
@@ -204,8 +208,10 @@
 
 
 def _dispatch(pool: Pool, now: float) -> list[PoolAction]:
-    """Send waiting parts while slots are free."""
+    """Send waiting parts while slots are free and the lease is held."""
     actions: list[PoolAction] = []
+    if now >= pool.lease_until:
+        return actions
     skipped: list[tuple[int, float, int, str]] = []
     while pool.waiting and len(skipped) < SCAN_LIMIT:
         if not _has_room(pool, now):
--- a/berylspool/version/attempt.py
+++ b/berylspool/version/attempt.py
@@ -25,6 +25,7 @@
 )
 from berylspool.version.ramp import (
     SHED_BACKOFF_S,
+    is_warm,
     on_answer,
     on_cold,
     on_instance,
@@ -54,9 +55,11 @@
         view.reported_load = event.load
     job = pool.job_by_part.get(attempt.part_id)
     latency_s = now - attempt.sent_at
+    warm = view is not None and is_warm(view.ramp, view.limits, now)
     actions: list[PoolAction] = []
-    if job is not None and not attempt.is_cancelled:
-        actions.append(Observed(job.part, event.reply, latency_s))
+    is_counted = not isinstance(event.reply, NotRunReply)
+    if job is not None and is_counted and not attempt.is_cancelled:
+        actions.append(Observed(job.part, event.reply, latency_s, warm))
     if job is None:
         return actions
     match event.reply:
@@ -148,9 +151,10 @@
         verdict = Verdict.CONVICTED if attempt.is_alone else Verdict.SUSPECT
         blame(pool.suspicion, fingerprint, verdict, now)
         actions.append(Blame(fingerprint, view.upstream.id, verdict))
-        latency_s = now - attempt.sent_at
-        reply = ErrorReply(Reason.CONNECTION_LOST)
-        actions.append(Observed(job.part, reply, latency_s))
+        if verdict is Verdict.SUSPECT:
+            latency_s = now - attempt.sent_at
+            reply = ErrorReply(Reason.CONNECTION_LOST)
+            actions.append(Observed(job.part, reply, latency_s, False))
     return actions + _retry(pool, job, now, RETRY_AFTER_LOSS_S)
 
 
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+from collections.abc import Container
 from dataclasses import dataclass, field
 
 from berylspool.exception import ConfigurationError, UnknownRouteError
@@ -182,7 +183,12 @@
                     )
 
 
-def pin(configuration: Configuration, route: str, ticket: int) -> Pinned:
+def pin(
+    configuration: Configuration,
+    route: str,
+    ticket: int,
+    blocked: Container[tuple[str, str]] = (),
+) -> Pinned:
     """Choose the version that a request reads and pin its partition map.
 
     Args:
@@ -190,6 +196,7 @@
         route: Name of the route.
         ticket: Any integer that is uniform over requests; equal tickets
             give equal choices.
+        blocked: Routes and versions that get no new requests here.
 
     Returns:
         The pinned partition map.
@@ -209,7 +216,8 @@
     move = configuration.move_by_route.get(route)
     if move is not None and move.new in plan.version_by_name:
         share = traffic_share(move)
-        if ticket % SHARE_STEPS < share * SHARE_STEPS:
+        is_chosen = ticket % SHARE_STEPS < share * SHARE_STEPS
+        if is_chosen and (route, move.new) not in blocked:
             name = move.new
     version = plan.version_by_name[name]
     return Pinned(Snapshot(version.name, version.partition), version.services)
--- /dev/null
+++ b/berylspool/version/language.py
@@ -0,0 +1,343 @@
+"""The operators' language: text in, typed commands out.
+
+The grammar is `language.lark`.  An error points at the word that does not
+fit and says what was expected there.
+"""
+
+from dataclasses import dataclass
+from functools import cache
+from importlib import resources
+from typing import Any
+
+from lark import Lark, Token, Transformer, v_args
+from lark.exceptions import (
+    UnexpectedCharacters,
+    UnexpectedEOF,
+    UnexpectedInput,
+    UnexpectedToken,
+    VisitError,
+)
+
+from berylspool.exception import CommandError, CommandSyntaxError
+from berylspool.version import operation as op
+from berylspool.version.configuration import (
+    Limits,
+    Upstream,
+    UpstreamState,
+    Version,
+    ZoneState,
+)
+
+__all__ = [
+    "AddControl",
+    "ChangeConfiguration",
+    "Command",
+    "Condition",
+    "RemoveControl",
+    "ReplaceControl",
+    "Show",
+    "expected_words",
+    "parse",
+]
+
+SECONDS_BY_UNIT = {"s": 1.0, "min": 60.0, "h": 3600.0}
+
+
+@dataclass(frozen=True, slots=True)
+class Condition:
+    """A filter on one column; `~` means that it contains the value."""
+
+    column: str
+    operator: str
+    value: str
+
+
+@dataclass(frozen=True, slots=True)
+class Show:
+    """Ask what holds."""
+
+    subject: str
+    conditions: tuple[Condition, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeConfiguration:
+    """State what should hold next."""
+
+    operations: tuple[op.Operation, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AddControl:
+    """Add a control node; it votes once it has caught up."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReplaceControl:
+    """Put a VM with an empty disk in the place of the lost one."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class RemoveControl:
+    """Remove a control node."""
+
+    name: str
+
+
+Command = (
+    Show | ChangeConfiguration | AddControl | ReplaceControl | RemoveControl
+)
+
+
+def parse(text: str) -> Command:
+    """Parse one command, or changes separated by `;` that go together.
+
+    Args:
+        text: Command as an operator writes it.
+
+    Returns:
+        The typed command.
+
+    Raises:
+        CommandSyntaxError: The text does not follow the grammar; the
+            message points at the word.
+        CommandError: A value is out of range.
+
+    Examples:
+        >>> parse("show zones where state = out").conditions
+        (Condition(column='state', operator='=', value='out'),)
+        >>> parse("zone derby out").operations
+        (SetZone(name='derby', state=<ZoneState.OUT: 'out'>),)
+    """
+    try:
+        return ToCommand().transform(_parser().parse(text))
+    except UnexpectedInput as error:
+        raise CommandSyntaxError(_describe(text, error)) from error
+    except VisitError as error:
+        raise CommandError(str(error.orig_exc)) from error
+
+
+def expected_words(text: str) -> list[str]:
+    """Return the words that may follow a text, for completion.
+
+    Examples:
+        >>> "zones" in expected_words("show ")
+        True
+    """
+    try:
+        _parser().parse(text + " \0")
+    except UnexpectedInput as error:
+        return _expected(error)
+    return []
+
+
+@cache
+def _parser() -> Lark:
+    package = resources.files("berylspool.version")
+    grammar = package.joinpath("language.lark").read_text(encoding="utf-8")
+    return Lark(grammar, parser="lalr")
+
+
+WORDS_BY_TERMINAL = {
+    "NAME": ["a name"],
+    "NUMBER": ["a number"],
+    "INTEGER": ["a whole number"],
+    "DURATION": ["a duration such as 90s"],
+    "ADDRESS": ["an address such as 10.0.0.1:80"],
+    "OPERATOR": ["=", "!=", "~"],
+    "SUBJECT": [
+        "services",
+        "zones",
+        "versions",
+        "upstreams",
+        "moves",
+        "members",
+        "limits",
+        "history",
+        "controls",
+        "routes",
+        "status",
+    ],
+    "LIMIT": ["slots", "connections", "cold_slots", "ramp_s"],
+    "$END": ["the end"],
+    "SEMICOLON": [";"],
+    "COMMA": [","],
+    "EQUAL": ["="],
+}
+
+
+def _expected(error: UnexpectedInput) -> list[str]:
+    match error:
+        case UnexpectedToken():
+            terminals = error.accepts or error.expected
+        case UnexpectedCharacters():
+            terminals = error.allowed
+        case UnexpectedEOF():
+            terminals = set(error.expected)
+        case _:
+            terminals = set()
+    words: set[str] = set()
+    for terminal in terminals or ():
+        name = str(terminal)
+        words.update(WORDS_BY_TERMINAL.get(name, [name.lower()]))
+    return sorted(words)
+
+
+def _describe(text: str, error: UnexpectedInput) -> str:
+    column = getattr(error, "column", -1)
+    position = column - 1 if column and column > 0 else len(text)
+    wanted = ", ".join(_expected(error))
+    marker = " " * position + "^"
+    return f"expected {wanted}\n{text}\n{marker}"
+
+
+def _seconds(duration: str) -> float:
+    for unit in ("min", "s", "h"):
+        if duration.endswith(unit):
+            return float(duration.removesuffix(unit)) * SECONDS_BY_UNIT[unit]
+    raise CommandError(f"bad duration {duration!r}")
+
+
+@v_args(inline=True)
+class ToCommand(Transformer):
+    """Turns a parse tree into a typed command."""
+
+    def start(self, *items: Any) -> Command:
+        """Return the command, or join changes into one."""
+        if isinstance(items[0], op.Operation):
+            return ChangeConfiguration(tuple(items))
+        return items[0]
+
+    def show(self, subject: Token, *conditions: Any) -> Show:
+        """Return a `Show`."""
+        return Show(str(subject), tuple(c for c in conditions if c))
+
+    def condition(self, column: Token, operator: Token, value: str):
+        """Return a `Condition`."""
+        return Condition(str(column), str(operator), value)
+
+    def value(self, token: Token) -> str:
+        """Return the text of a value."""
+        return str(token)
+
+    def names(self, *tokens: Token) -> tuple[str, ...]:
+        """Return a tuple of names."""
+        return tuple(map(str, tokens))
+
+    def zones(self, names: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the names of zones."""
+        return names
+
+    def limit(self, name: Token, value: Token) -> tuple[str, float]:
+        """Return one limit."""
+        return str(name), float(value)
+
+    def limits(self, *pairs: tuple[str, float]) -> Limits:
+        """Return limits; those that are not named keep their default."""
+        return op.change_limits(Limits(), dict(pairs))
+
+    def plan(self, name: Token, partition: Token, services: tuple[str, ...]):
+        """Return a `Version`."""
+        return Version(str(name), int(partition), services)
+
+    def create_zone(self, name: Token) -> op.Operation:
+        """Return the operation."""
+        return op.CreateZone(str(name))
+
+    def zone_out(self, name: Token) -> op.Operation:
+        """Return the operation."""
+        return op.SetZone(str(name), ZoneState.OUT)
+
+    def zone_in(self, name: Token) -> op.Operation:
+        """Return the operation."""
+        return op.SetZone(str(name), ZoneState.IN)
+
+    def create_service(self, name: Token, zones: Any, limits: Any):
+        """Return the operation."""
+        return op.CreateService(str(name), zones or (), limits or Limits())
+
+    def set_zones(self, name: Token, zones: Any) -> op.Operation:
+        """Return the operation."""
+        chosen = () if isinstance(zones, Token) else zones
+        return op.SetServiceZones(str(name), chosen)
+
+    def set_limits(self, name: Token, *pairs: Any) -> op.Operation:
+        """Return the operation."""
+        return op.SetLimits(str(name), dict(pairs))
+
+    def add_upstream(
+        self,
+        id: Token,
+        service: Token,
+        address: Token,
+        zone: Token,
+        version: Token,
+    ) -> op.Operation:
+        """Return the operation."""
+        host, _, port = address.rpartition(":")
+        upstream = Upstream(str(id), host, int(port), str(zone), str(version))
+        return op.AddUpstream(str(service), upstream)
+
+    def drain_upstream(self, id: Token) -> op.Operation:
+        """Return the operation."""
+        return op.SetUpstream(str(id), UpstreamState.LEAVING)
+
+    def restore_upstream(self, id: Token) -> op.Operation:
+        """Return the operation."""
+        return op.SetUpstream(str(id), UpstreamState.SERVING)
+
+    def remove_upstream(self, id: Token) -> op.Operation:
+        """Return the operation."""
+        return op.RemoveUpstream(str(id))
+
+    def create_route(self, name: Token, plan: Version) -> op.Operation:
+        """Return the operation."""
+        return op.CreateRoute(str(name), plan)
+
+    def add_version(self, route: Token, plan: Version) -> op.Operation:
+        """Return the operation."""
+        return op.AddVersion(str(route), plan)
+
+    def remove_version(self, version: Token, route: Token) -> op.Operation:
+        """Return the operation."""
+        return op.RemoveVersion(str(route), str(version))
+
+    def start_move(self, route: Token, version: Token, within: Token):
+        """Return the operation."""
+        return op.StartMove(str(route), str(version), _seconds(within))
+
+    def pause_move(self, route: Token) -> op.Operation:
+        """Return the operation."""
+        return op.PauseMove(str(route))
+
+    def resume_move(self, route: Token) -> op.Operation:
+        """Return the operation."""
+        return op.ResumeMove(str(route))
+
+    def finish_move(self, route: Token) -> op.Operation:
+        """Return the operation."""
+        return op.FinishMove(str(route))
+
+    def take_back_move(self, route: Token) -> op.Operation:
+        """Return the operation."""
+        return op.TakeBackMove(str(route))
+
+    def clear_version(self, version: Token, route: Token) -> op.Operation:
+        """Return the operation."""
+        return op.ClearVersion(str(route), str(version))
+
+    def add_control(self, name: Token) -> Command:
+        """Return the command."""
+        return AddControl(str(name))
+
+    def replace_control(self, name: Token) -> Command:
+        """Return the command."""
+        return ReplaceControl(str(name))
+
+    def remove_control(self, name: Token) -> Command:
+        """Return the command."""
+        return RemoveControl(str(name))
--- a/berylspool/version/pool_message.py
+++ b/berylspool/version/pool_message.py
@@ -21,6 +21,7 @@
     "Disconnect",
     "ErrorReply",
     "HealthReported",
+    "Leased",
     "NotRunReply",
     "Observed",
     "PartArrived",
@@ -141,6 +142,13 @@
     limits: Limits = Limits()
 
 
+@dataclass(frozen=True, slots=True)
+class Leased:
+    """The process may send new copies until a moment, monotonic seconds."""
+
+    until: float
+
+
 @dataclass(frozen=True, slots=True)
 class Closing:
     """The pool hands its service over or the process shuts down."""
@@ -160,6 +168,7 @@
     | HealthReported
     | Blamed
     | Reconfigured
+    | Leased
     | Closing
     | Woken
 )
@@ -241,6 +250,7 @@
     part: Part
     reply: UpstreamReply
     latency_s: float
+    is_warm: bool
 
 
 PoolAction = (
--- a/berylspool/version/pool_state.py
+++ b/berylspool/version/pool_state.py
@@ -111,6 +111,8 @@
         waiting: Heap of (is hedge, request age key, serial, part id).
         timers: Heap of (moment, serial, part id, kind).
         suspicion: Requests blamed for lost upstreams.
+        lease_until: No new copy is sent from this moment on, monotonic
+            seconds.
         is_closing: Whether the pool takes no new parts.
     """
 
@@ -125,6 +127,7 @@
         default_factory=list
     )
     suspicion: Suspicion = field(default_factory=Suspicion)
+    lease_until: float = float("inf")
     is_closing: bool = False
     serial: int = 0
     mean_s: float = FIRST_MEAN_S
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -14,7 +14,7 @@
 trap stop EXIT
 run() { (cd "$folder" && exec berylspool "$@" 2>>"$folder/$1.log") & pids+=("$!"); }
 run standin --settings "$settings"
-for name in control-1 control-2 control-3; do run control --settings "$settings" --name "$name"; done
+for name in control-1 control-2 control-3; do run control --settings "$settings" --name "$name" --init; done
 for name in entry-1 entry-2 entry-3; do run entry --settings "$settings" --name "$name"; done
 for port in 25000 25001 25002; do
   for _ in $(seq 200); do
