--- a/bench/deployment.py
+++ b/bench/deployment.py
@@ -145,7 +145,10 @@
         running = Deployment(Path(folder), settings)
         running.settings_path.write_text(yaml.safe_dump(settings))
         try:
-            running.start("standin", "standin", "--record", "records.jsonl")
+            for zone in settings["initial"]["zones"]:
+                record = f"records-{zone}.jsonl"
+                options = ("--zone", zone, "--record", record)
+                running.start("standin", f"standin-{zone}", *options)
             time.sleep(1.0)
             for name in settings["controls"]:
                 running.start_control(name)
--- /dev/null
+++ b/bench/tail.py
@@ -0,0 +1,139 @@
+"""Tail latency of whole queries against baselines, interleaved.
+
+Usage: python -m bench.tail [EXAMPLE] [--route R] [--loads 0.3,0.6]
+       [--seeds 1,2] [--seconds 8] [--out FILE]
+"""
+
+import argparse
+import asyncio
+import json
+import time
+
+from bench.deployment import deployment
+from berylspool.process.load import LoadPlan, run_load, summary
+from berylspool.process.settings import split_address
+
+POLICIES = {
+    "owned": {},
+    "owned_no_hedges": {"hedges": 0},
+    "alone_random": {"sharing": "alone", "choice": "random", "hedges": 0},
+    "alone_fewest": {
+        "sharing": "alone",
+        "choice": "fewest_in_flight",
+        "hedges": 0,
+    },
+}
+# Times of the upstreams are stretched, so that a few processes of one machine
+# can offer the whole load: lognormal service of 5 ms with a spread of 0.35,
+# and 2 % stragglers of 60 ms, each times `--stretch`.
+SERVICE_MS = 5.0
+STRAGGLER_MS = 60.0
+STRAGGLER_SHARE = 0.02
+LOGNORMAL_MEAN = 1.063
+WARM_UP_S = 8.0
+
+
+def mean_service_s(stretch: float) -> float:
+    usual = (1 - STRAGGLER_SHARE) * SERVICE_MS * LOGNORMAL_MEAN
+    return stretch * (usual + STRAGGLER_SHARE * STRAGGLER_MS) / 1000
+
+
+def capacity(settings: dict, route: str, stretch: float) -> float:
+    """Return the whole queries a second that the upstreams bear."""
+    services = settings["initial"]["routes"][route]["versions"]["v1"]
+    rates = []
+    for name in services["services"]:
+        service = settings["initial"]["services"][name]
+        upstreams = service["upstreams"].values()
+        copies = sum(u["version"] == "v1" for u in upstreams)
+        rates.append(
+            copies * service["limits"]["slots"] / mean_service_s(stretch)
+        )
+    return min(rates)
+
+
+def run_policy(args, policy: str, seed: int) -> list[dict]:
+    changes = {
+        "routing": POLICIES[policy],
+        "standin": {
+            "seed": seed,
+            "falls_over": policy.startswith("owned"),
+            "service_ms": SERVICE_MS * args.stretch,
+            "straggler_ms": STRAGGLER_MS * args.stretch,
+        },
+        "log": {"path": "log.jsonl", "decisions": False},
+    }
+    figures = []
+    with deployment(args.example, changes, entries=args.entries) as running:
+        entries = running.settings["entries"].values()
+        targets = tuple(split_address(e["address"]) for e in entries)
+        most = capacity(running.settings, args.route, args.stretch)
+        warm = LoadPlan(
+            targets, args.route, most * 0.25, WARM_UP_S, args.deadline_ms
+        )
+        asyncio.run(run_load(warm))
+        for load in args.loads:
+            before = {n: running.cpu_s(n) for n in running.settings["entries"]}
+            plan = LoadPlan(
+                targets,
+                args.route,
+                most * load,
+                args.seconds,
+                deadline_ms=args.deadline_ms,
+                seed=seed,
+            )
+            result = asyncio.run(run_load(plan))
+            row = summary(plan, result)
+            cpu_s = sum(
+                running.cpu_s(n) - before[n]
+                for n in running.settings["entries"]
+            )
+            row.update(
+                policy=policy,
+                load=load,
+                capacity=round(most, 1),
+                entry_cores=round(cpu_s / args.seconds, 2),
+            )
+            figures.append(row)
+            print(
+                f"{policy:16} seed {seed} load {load:<4} "
+                f"p50 {row['latency_ms']['p50']:7.1f} "
+                f"p99 {row['latency_ms']['p99']:7.1f} "
+                f"p99.9 {row['latency_ms']['p99.9']:7.1f} "
+                f"goodput {row['goodput'] / most:.2f} of capacity "
+                f"extra {row['extra_load']:.3f} "
+                f"cores {row['entry_cores']} {row['outcome']}",
+                flush=True,
+            )
+            time.sleep(1.0)
+    return figures
+
+
+def numbers(text: str) -> list[float]:
+    return [float(item) for item in text.split(",")]
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("example", nargs="?", default="trust")
+    parser.add_argument("--route", default="pitch-lookup")
+    parser.add_argument("--loads", type=numbers, default=[0.3, 0.6])
+    parser.add_argument("--seeds", type=numbers, default=[1.0])
+    parser.add_argument("--seconds", type=float, default=8.0)
+    parser.add_argument("--deadline-ms", type=int, default=3000)
+    parser.add_argument("--stretch", type=float, default=10.0)
+    parser.add_argument("--entries", type=int, default=None)
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument("--out", default="")
+    args = parser.parse_args()
+    figures = []
+    for seed in args.seeds:
+        for policy in args.policies.split(","):
+            figures += run_policy(args, policy, int(seed))
+    if args.out:
+        with open(args.out, "w", encoding="utf-8") as file:
+            json.dump(figures, file, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- a/berylspool/connection/mailbox.py
+++ b/berylspool/connection/mailbox.py
@@ -54,12 +54,20 @@
             The messages in order of arrival; empty after the timeout.
         """
         if not self._items and (timeout_s is None or timeout_s > 0):
-            try:
-                async with asyncio.timeout(timeout_s):
-                    await self._ready.wait()
-            except TimeoutError:
-                pass
+            await self._wait(timeout_s)
         self._ready.clear()
         items = list(self._items)
         self._items.clear()
         return items
+
+    async def _wait(self, timeout_s: float | None) -> None:
+        if timeout_s is None:
+            await self._ready.wait()
+            return
+        # A plain timer costs a third of `asyncio.timeout`.
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(timeout_s, self._ready.set)
+        try:
+            await self._ready.wait()
+        finally:
+            timer.cancel()
--- a/berylspool/process/cli.py
+++ b/berylspool/process/cli.py
@@ -170,11 +170,14 @@
 
 
 @app.command
-def standin(*, settings: SettingsFile, record: str = "") -> None:
+def standin(
+    *, settings: SettingsFile, zone: str = "", record: str = ""
+) -> None:
     """Run a stand-in for each upstream of the initial configuration.
 
     Args:
         settings: Settings file of the deployment.
+        zone: Run only those of one availability zone.
         record: File that gets a record of each part; overrides the settings.
     """
     loaded = load_settings(settings)
@@ -185,7 +188,8 @@
         time.monotonic,
         write,
     )
-    run_loop(loaded, serve(standins))
+    chosen = [s for s in standins if zone in ("", s.upstream.zone)]
+    run_loop(loaded, serve(chosen))
 
 
 @app.command
--- a/berylspool/process/router.py
+++ b/berylspool/process/router.py
@@ -59,7 +59,7 @@
 
 __all__ = ["Router"]
 
-WAKE_S = 0.02
+HELD_WAKE_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +123,8 @@
         """Serve the inbox until the task is cancelled."""
         try:
             while True:
-                messages = await self.inbox.take(WAKE_S) or [Woken()]
+                pause_s = HELD_WAKE_S if self.routing.held else None
+                messages = await self.inbox.take(pause_s) or [Woken()]
                 for message in messages:
                     self._handle(message)
         finally:
--- a/berylspool/version/admission.py
+++ b/berylspool/version/admission.py
@@ -256,6 +256,9 @@
     """Reserve a warm upstream for a suspect and wait until it is empty."""
     views = pool.view_by_upstream.values()
     reserved = next((v for v in views if v.reserved_for), None)
+    if reserved is not None and not _may_run_alone(reserved, now):
+        reserved.reserved_for = None
+        reserved = None
     if reserved is None:
         reserved = choose(
             views,
@@ -276,6 +279,17 @@
     return reserved if is_ready else None
 
 
+def _may_run_alone(view: UpstreamView, now: float) -> bool:
+    """Return whether a reserved upstream is still fit for its suspect."""
+    if view.in_flight:
+        return True
+    return (
+        view.is_serving
+        and not view.is_draining
+        and is_warm(view.ramp, view.limits, now)
+    )
+
+
 def _send(
     pool: Pool, job: Job, view: UpstreamView, is_hedge: bool, now: float
 ) -> list[PoolAction]:
--- a/berylspool/version/attempt.py
+++ b/berylspool/version/attempt.py
@@ -13,6 +13,7 @@
     RowsReply,
     Silent,
     TimerKind,
+    UpstreamReply,
 )
 from berylspool.version.pool_state import (
     Job,
@@ -53,53 +54,52 @@
         if on_instance(view.ramp, event.instance):
             view.is_draining = False
         view.reported_load = event.load
-    job = pool.job_by_part.get(attempt.part_id)
     latency_s = now - attempt.sent_at
-    warm = view is not None and is_warm(view.ramp, view.limits, now)
-    actions: list[PoolAction] = []
-    is_counted = not isinstance(event.reply, NotRunReply)
-    if job is not None and is_counted and not attempt.is_cancelled:
-        actions.append(Observed(job.part, event.reply, latency_s, warm))
+    if view is not None:
+        _learn(view, event.reply, latency_s, now)
+    job = pool.job_by_part.get(attempt.part_id)
     if job is None:
-        return actions
+        return []
+    is_warm_now = view is not None and is_warm(view.ramp, view.limits, now)
+    seen = Observed(job.part, event.reply, latency_s, is_warm_now)
     match event.reply:
         case RowsReply(snapshot=snapshot, rows=rows):
-            if view is not None:
-                on_answer(view.ramp, now)
-                view.observe(latency_s)
-                view.reopen_delay_s = 0.0
             pool.mean_s += LATENCY_GAIN * (latency_s - pool.mean_s)
             observe(pool.delay, latency_s)
             clear(pool.suspicion, job.part.fingerprint)
             result = PartRows(job.part.id, snapshot, rows, job.sends)
-            return actions + resolve(pool, job, result)
+            return [seen, *resolve(pool, job, result)]
         case NotRunReply(reason=reason):
-            return actions + _not_run(pool, job, view, reason, now)
+            job.tried.discard(attempt.upstream_id)
+            return _not_run(pool, job, reason)
         case ErrorReply(reason=reason):
             job.has_run = True
             job.last_reason = reason
-            return actions + _retry(pool, job, now, 0.0)
-    return actions
+            return [seen, *_retry(pool, job, now, 0.0)]
+    return []
 
 
-def _not_run(
-    pool: Pool,
-    job: Job,
-    view: UpstreamView | None,
-    reason: Reason,
-    now: float,
-) -> list[PoolAction]:
+def _learn(
+    view: UpstreamView, reply: UpstreamReply, latency_s: float, now: float
+) -> None:
+    """Learn from a reply, whether or not its part is still wanted."""
+    match reply:
+        case RowsReply():
+            on_answer(view.ramp, now)
+            view.observe(latency_s)
+            view.reopen_delay_s = 0.0
+        case NotRunReply(reason=Reason.OVERLOAD):
+            view.ramp.shed_until = now + SHED_BACKOFF_S
+        case NotRunReply(reason=Reason.COLD):
+            on_cold(view.ramp)
+            view.ramp.shed_until = now + SHED_BACKOFF_S
+        case NotRunReply(reason=Reason.SHUTTING_DOWN):
+            view.is_draining = True
+
+
+def _not_run(pool: Pool, job: Job, reason: Reason) -> list[PoolAction]:
+    """Handle a refusal; the upstream says that nothing ran."""
     job.last_reason = reason
-    if view is not None:
-        match reason:
-            case Reason.OVERLOAD:
-                view.ramp.shed_until = now + SHED_BACKOFF_S
-            case Reason.COLD:
-                on_cold(view.ramp)
-                view.ramp.shed_until = now + SHED_BACKOFF_S
-            case Reason.SHUTTING_DOWN:
-                view.is_draining = True
-        job.tried.discard(view.upstream.id)
     if reason is Reason.WRONG_SNAPSHOT:
         result = PartFailed(job.part.id, reason, job.sends)
         return resolve(pool, job, result)
--- a/berylspool/version/pool_state.py
+++ b/berylspool/version/pool_state.py
@@ -169,7 +169,7 @@
     view = pool.view_by_upstream.get(attempt.upstream_id)
     if view is not None:
         view.in_flight -= 1
-        if view.reserved_for == attempt.part_id:
+        if attempt.is_alone:
             view.reserved_for = None
         connection = view.connection_by_id.get(attempt.connection_id)
         if connection and connection.state is ConnectionState.BUSY:
@@ -185,6 +185,9 @@
     """Reply once and cancel the copies that are still in flight."""
     actions: list[PoolAction] = [Reply(result)]
     del pool.job_by_part[job.part.id]
+    for view in pool.view_by_upstream.values():
+        if view.reserved_for == job.part.id:
+            view.reserved_for = None
     for attempt in job.attempt_by_id.values():
         attempt.is_cancelled = True
         actions.append(
