Tests of routing, ownership, ledger, moves and judgement, with planted faults

Cause: membership, routing, the replicated state and moves had no tests. Conclusion: the checks can fail, and pass on the code as it is.

--- a/berylspool/process/tests/test_consensus.py
+++ b/berylspool/process/tests/test_consensus.py
@@ -1,9 +1,8 @@
 """Consensus: fuzzing, focused cases, and planted faults that must show."""
 
 import pytest
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import rule, run_state_machine_as_test
+from hypothesis.stateful import rule
 
 from berylspool.process import consensus
 from berylspool.process.consensus import Node, Role, Timing, step
@@ -31,6 +30,7 @@
     ConsensusMachine,
     Disk,
 )
+from berylspool.tests.planted import is_caught
 
 TestConsensus = ConsensusMachine.TestCase
 
@@ -162,25 +162,6 @@
         assert [reply.is_granted for reply in replies] == [False]
 
 
-def is_caught(machine, examples=400, steps=60):
-    """Return whether fuzzing finds the fault."""
-    profile = settings(
-        max_examples=examples,
-        stateful_step_count=steps,
-        deadline=None,
-        derandomize=True,
-        database=None,
-        phases=[Phase.generate],
-        suppress_health_check=list(HealthCheck),
-        report_multiple_bugs=False,
-    )
-    try:
-        run_state_machine_as_test(machine, settings=profile)
-    except (AssertionError, KeyError, IndexError):
-        return True
-    return False
-
-
 class SendsBeforeSync(ConsensusMachine):
     syncs_first = False
 
--- /dev/null
+++ b/berylspool/process/tests/test_ownership.py
@@ -0,0 +1,276 @@
+"""No two entries admit for one service, whatever is lost or late."""
+
+import pytest
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from berylspool.connection.message import Member, MemberTable
+from berylspool.process import membership, routing
+from berylspool.process.membership import Heard, Led, Membership, Seated
+from berylspool.process.routing import (
+    LeaseSet,
+    PoolDrained,
+    Routing,
+    TableChanged,
+    TableDrained,
+)
+from berylspool.tests.planted import is_caught
+from berylspool.version.configuration import (
+    Configuration,
+    Route,
+    Service,
+    Version,
+)
+
+NAMES = ("e1", "e2", "e3", "e4")
+SERVICES = tuple(f"s{i}" for i in range(6))
+LEASE_S = 2.0
+CONFIGURATION = Configuration(
+    revision=1,
+    service_by_name={name: Service(name) for name in SERVICES},
+    route_by_name={"r": Route("r", "v1", {"v1": Version("v1", 1, SERVICES)})},
+)
+
+
+class Entry:
+    def __init__(self, name, boot):
+        self.name = name
+        self.boot = boot
+        self.routing = Routing(name)
+        self.drained_epoch = 0
+        self.is_leaving = False
+        self.step(routing.ConfigurationChanged(CONFIGURATION), 0.0)
+
+    def step(self, event, now):
+        for action in routing.step(self.routing, event, now):
+            if isinstance(action, TableDrained):
+                self.drained_epoch = action.epoch
+
+    def admits(self, service, now):
+        return (
+            now < self.routing.lease_until
+            and routing.owner(self.routing, service) == self.name
+            and (service, "v1") not in self.routing.closing_keys
+        )
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Entries, leaders that come and go, and messages that take their time."""
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.boots = 0
+        self.term = 1
+        self.log = (MemberTable(), None)
+        self.leader = Membership(LEASE_S)
+        self.entry_by_name = {}
+        self.beats = []
+        self.grants = []
+        for name in NAMES:
+            self.boot(name)
+        self.elect()
+
+    def boot(self, name):
+        self.boots += 1
+        self.entry_by_name[name] = Entry(name, f"b{self.boots}")
+
+    def elect(self):
+        self.leader = Membership(LEASE_S)
+        membership.step(self.leader, Led(self.term), self.now)
+        membership.step(self.leader, Seated(*self.log), self.now)
+
+    @rule(step_s=st.sampled_from([0.05, 0.25, 0.5, 1.0]))
+    def time_passes(self, step_s):
+        self.now += step_s
+
+    @rule(names=st.sets(st.sampled_from(NAMES)))
+    def entries_beat(self, names):
+        for name in sorted(names):
+            entry = self.entry_by_name[name]
+            heard = Heard(
+                Member(name, "127.0.0.1", 1),
+                entry.boot,
+                1,
+                entry.drained_epoch,
+                entry.is_leaving,
+            )
+            self.beats.append((entry, heard, self.now))
+
+    @rule(pick=st.randoms(use_true_random=False), share=st.floats(0, 1))
+    def beats_arrive(self, pick, share):
+        kept = []
+        for beat in self.beats:
+            if pick.random() > share:
+                kept.append(beat)
+                continue
+            entry, heard, sent_at = beat
+            membership.step(self.leader, heard, self.now)
+            active, proposed = self.log
+            table = proposed or active
+            self.grants.append((entry, table, sent_at + LEASE_S))
+        self.beats = kept
+
+    @rule(pick=st.randoms(use_true_random=False), share=st.floats(0, 1))
+    def grants_arrive(self, pick, share):
+        kept = []
+        for grant in self.grants:
+            if pick.random() > share:
+                kept.append(grant)
+                continue
+            entry, table, until = grant
+            entry.step(TableChanged(table), self.now)
+            entry.step(LeaseSet(until), self.now)
+        self.grants = kept
+
+    @rule()
+    def leader_decides(self):
+        for action in membership.step(
+            self.leader, membership.Ticked(), self.now
+        ):
+            table = action.table
+            active, _ = self.log
+            self.log = (table, None) if table.is_active else (active, table)
+            membership.step(self.leader, Seated(*self.log), self.now)
+
+    @rule(rounds=st.integers(1, 8))
+    def all_goes_well(self, rounds):
+        self.some_are_connected(set(NAMES), rounds, True)
+
+    @rule(
+        names=st.sets(st.sampled_from(NAMES), min_size=1),
+        rounds=st.integers(1, 10),
+        drains=st.booleans(),
+    )
+    def some_are_connected(self, names, rounds, drains):
+        """Some entries reach the leader; the others hear nothing."""
+        for _ in range(rounds):
+            self.now += 0.2
+            for name in sorted(names):
+                self.exchange(self.entry_by_name[name], drains)
+            self.leader_decides()
+
+    def exchange(self, entry, drains):
+        heard = Heard(
+            Member(entry.name, "127.0.0.1", 1),
+            entry.boot,
+            1,
+            entry.drained_epoch,
+            entry.is_leaving,
+        )
+        membership.step(self.leader, heard, self.now)
+        table = self.log[1] or self.log[0]
+        entry.step(TableChanged(table), self.now)
+        entry.step(LeaseSet(self.now + LEASE_S), self.now)
+        if drains:
+            self.drain(entry)
+
+    def drain(self, entry):
+        for key in sorted(entry.routing.closing_keys):
+            entry.step(PoolDrained(key), self.now)
+
+    @rule(name=st.sampled_from(NAMES))
+    def pools_drain(self, name):
+        self.drain(self.entry_by_name[name])
+
+    @rule(name=st.sampled_from(NAMES))
+    def entry_restarts(self, name):
+        self.boot(name)
+
+    @rule(name=st.sampled_from(NAMES), is_leaving=st.booleans())
+    def entry_leaves(self, name, is_leaving):
+        self.entry_by_name[name].is_leaving = is_leaving
+
+    @rule()
+    def leader_changes(self):
+        self.term += 1
+        self.elect()
+
+    @rule()
+    def messages_are_lost(self):
+        self.beats.clear()
+        self.grants.clear()
+
+    @invariant()
+    def one_owner_at_most(self):
+        for service in SERVICES:
+            owners = [
+                name
+                for name, entry in self.entry_by_name.items()
+                if entry.admits(service, self.now)
+            ]
+            assert len(owners) <= 1, (service, owners)
+
+
+TestOwnership = OwnershipMachine.TestCase
+
+
+def test_services_are_owned_soon_after_the_start():
+    machine = OwnershipMachine()
+    for _ in range(3):
+        machine.all_goes_well(8)
+    for service in SERVICES:
+        owners = [
+            e
+            for e in machine.entry_by_name.values()
+            if e.admits(service, machine.now)
+        ]
+        assert len(owners) == 1
+
+
+def test_services_of_a_dead_entry_move_and_no_others():
+    machine = OwnershipMachine()
+    for _ in range(6):
+        machine.all_goes_well(8)
+    entries = machine.entry_by_name
+    before = {s: routing.owner(entries["e1"].routing, s) for s in SERVICES}
+    dead = entries.pop("e2")
+    for _ in range(80):
+        machine.now += 0.25
+        for entry in entries.values():
+            machine.exchange(entry, drains=True)
+        machine.leader_decides()
+    after = {s: routing.owner(entries["e1"].routing, s) for s in SERVICES}
+    assert "e2" not in after.values()
+    assert all(before[s] in ("e2", after[s]) for s in SERVICES)
+    assert not any(dead.admits(s, machine.now) for s in SERVICES)
+
+
+def ignores_the_lease(entry, service, now):
+    return routing.owner(entry.routing, service) == entry.name
+
+
+def ignores_the_proposal(state, service):
+    return routing.owner_of(service, state.active.member_by_name)
+
+
+@pytest.mark.parametrize(
+    ("module", "name", "replacement"),
+    [
+        pytest.param(
+            membership,
+            "_has_drained",
+            lambda *_: True,
+            id="new_owner_before_the_old_one_drained",
+        ),
+        pytest.param(
+            membership,
+            "_is_expired",
+            lambda *_: True,
+            id="entry_taken_for_dead_within_its_lease",
+        ),
+        pytest.param(
+            membership,
+            "_expiry_s",
+            lambda state: 0.0,
+            id="new_leader_does_not_wait_for_old_leases",
+        ),
+        pytest.param(Entry, "admits", ignores_the_lease, id="no_lease"),
+        pytest.param(
+            routing, "owner", ignores_the_proposal, id="no_two_phases"
+        ),
+    ],
+)
+def test_fuzzing_catches_planted_fault(module, name, replacement, monkeypatch):
+    monkeypatch.setattr(module, name, replacement)
+    assert is_caught(OwnershipMachine)
--- /dev/null
+++ b/berylspool/version/tests/test_move.py
@@ -0,0 +1,243 @@
+"""Moves end, stick, keep their share, and are judged on evidence."""
+
+import random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from berylspool.exception import CommandError
+from berylspool.process.tally import TallyBook, follow, observe, take
+from berylspool.request.query import Part, Reason, Snapshot
+from berylspool.version import move as moves
+from berylspool.version.configuration import (
+    Configuration,
+    Route,
+    Service,
+    Version,
+    pin,
+)
+from berylspool.version.judge import Judge, add_tally, histogram, judge
+from berylspool.version.move import (
+    Move,
+    MoveState,
+    Ticked,
+    Verdict,
+    step,
+    traffic_share,
+)
+from berylspool.version.operation import (
+    ClearVersion,
+    FinishMove,
+    PauseMove,
+    ReplaceMove,
+    ResumeMove,
+    StartMove,
+    TakeBackMove,
+    apply_all,
+)
+from berylspool.version.pool_message import ErrorReply, Observed, RowsReply
+
+VERSIONS = {
+    "v1": Version("v1", 1, ("a",)),
+    "v2": Version("v2", 2, ("a", "b")),
+}
+CONFIGURATION = Configuration(
+    revision=1,
+    service_by_name={n: Service(n) for n in "ab"},
+    route_by_name={"r": Route("r", "v1", VERSIONS)},
+)
+START = StartMove("r", "v2", 60.0)
+
+
+def run(verdicts, deadline_at=60.0, step_s=0.5):
+    """Step a move with a verdict for each tick, then to its end."""
+    move = Move("r", "v1", "v2", 0.0, deadline_at)
+    now, seen = 0.0, [move]
+    for verdict in verdicts:
+        now += step_s
+        move = step(move, Ticked(verdict, "evidence"), now)
+        seen.append(move)
+    while move.state not in moves.ENDED and now < deadline_at * 3:
+        now += step_s
+        move = step(move, Ticked(Verdict.OPEN), now)
+        seen.append(move)
+    return seen, now
+
+
+@given(st.lists(st.sampled_from(Verdict), max_size=150))
+def test_every_move_ends_by_its_deadline(verdicts):
+    seen, now = run(verdicts)
+    assert seen[-1].state in moves.ENDED
+    assert now <= 60.0 + moves.DRAIN_S + 1.0 or len(verdicts) > 120
+
+
+@given(st.lists(st.sampled_from([Verdict.OPEN, Verdict.GOOD]), max_size=100))
+def test_share_is_bounded_until_the_verdict_and_never_skips(verdicts):
+    seen, _ = run(verdicts)
+    shares = [traffic_share(move) for move in seen]
+    steps = (0.0, moves.CANARY_SHARE, *moves.RAMP_SHARES)
+    for before, after in zip(shares, shares[1:], strict=False):
+        if after > before:
+            assert steps.index(after) == steps.index(before) + 1
+    if Verdict.GOOD not in verdicts:
+        assert max(shares) <= moves.CANARY_SHARE
+
+
+@given(st.lists(st.just(Verdict.GOOD), max_size=60))
+def test_bad_verdict_stops_all_new_work_at_once(verdicts):
+    seen, _ = run(verdicts)
+    live = seen[-1] if seen[-1].state not in moves.ENDED else seen[0]
+    after = step(live, Ticked(Verdict.BAD, "evidence"), 1.0)
+    assert after.state is MoveState.TAKING_BACK
+    assert traffic_share(after) == 0.0
+    assert after.cause == "evidence"
+
+
+def test_good_move_is_done_in_time():
+    seen, now = run([Verdict.GOOD] * 120)
+    assert seen[-1].state is MoveState.DONE and now <= 60.0
+
+
+def test_move_that_cannot_meet_its_deadline_says_so_early():
+    seen, _ = run([])
+    late = next(move for move in seen if move.is_late)
+    assert late.state is MoveState.CANARY and late.cause
+
+
+def start():
+    return apply_all(CONFIGURATION, (START,), 0.0)
+
+
+def test_version_that_was_taken_back_stays_blocked_until_cleared():
+    moving = start()
+    taking = apply_all(moving, (TakeBackMove("r"),), 1.0)
+    move = taking.move_by_route["r"]
+    taken = step(move, Ticked(Verdict.GOOD), 1.0 + moves.DRAIN_S)
+    ended = apply_all(taking, (ReplaceMove(move, taken),), 10.0)
+    assert ended.move_by_route["r"].state is MoveState.TAKEN_BACK
+    with pytest.raises(CommandError):
+        apply_all(ended, (START,), 11.0)
+    cleared = apply_all(ended, (ClearVersion("r", "v2"), START), 12.0)
+    assert cleared.move_by_route["r"].state is MoveState.PREPARED
+
+
+def test_paused_move_keeps_its_share_and_resumes():
+    moving = start()
+    move = moving.move_by_route["r"]
+    canary = step(move, Ticked(Verdict.OPEN), 1.0)
+    moving = apply_all(moving, (ReplaceMove(move, canary),), 1.0)
+    paused = apply_all(moving, (PauseMove("r"),), 2.0)
+    share = traffic_share(paused.move_by_route["r"])
+    assert share == moves.CANARY_SHARE
+    resumed = apply_all(paused, (ResumeMove("r"),), 3.0)
+    assert resumed.move_by_route["r"].state is MoveState.CANARY
+
+
+def test_finished_move_changes_the_stable_version():
+    finished = apply_all(start(), (FinishMove("r"),), 1.0)
+    move = finished.move_by_route["r"]
+    assert traffic_share(move) == 1.0
+    done = step(move, Ticked(Verdict.GOOD), 30.0)
+    ended = apply_all(finished, (ReplaceMove(move, done),), 30.0)
+    assert ended.route_by_name["r"].stable == "v2"
+
+
+def test_stale_step_of_a_former_leader_is_refused():
+    moving = start()
+    move = moving.move_by_route["r"]
+    paused = apply_all(moving, (PauseMove("r"),), 1.0)
+    after = step(move, Ticked(Verdict.OPEN), 2.0)
+    with pytest.raises(CommandError):
+        apply_all(paused, (ReplaceMove(move, after),), 2.0)
+
+
+def test_share_of_requests_and_the_local_block():
+    move = Move("r", "v1", "v2", 0.0, 60.0, MoveState.CANARY)
+    moving = Configuration(
+        service_by_name=CONFIGURATION.service_by_name,
+        route_by_name=CONFIGURATION.route_by_name,
+        move_by_route={"r": move},
+    )
+    pins = [pin(moving, "r", ticket) for ticket in range(10_000)]
+    new = [p for p in pins if p.snapshot == Snapshot("v2", 2)]
+    assert len(new) == 200 and new[0].services == ("a", "b")
+    blocked = {("r", "v2")}
+    assert pin(moving, "r", 0, blocked).snapshot == Snapshot("v1", 1)
+
+
+def observed(judge_, rng, version, count, failure_rate, slow=1.0):
+    latency = histogram()
+    failed = 0
+    for _ in range(count):
+        if rng.random() < failure_rate:
+            failed += 1
+            continue
+        usual = rng.lognormvariate(0, 0.35) * 5000
+        straggler = 60_000 if rng.random() < 0.02 else usual
+        latency.record_value(int(straggler * slow))
+    encoded = latency.encode()
+    add_tally(judge_, version, count - failed, failed, encoded)
+
+
+def verdict_of(seed, failure_rate=0.001, slow=1.0, old_rate=0.001):
+    """Judge in steps as control does, and return the first verdict."""
+    rng = random.Random(seed)
+    seen = Judge()
+    for _ in range(100):
+        observed(seen, rng, "v1", 980, old_rate)
+        observed(seen, rng, "v2", 20, failure_rate, slow)
+        verdict, cause = judge(seen, "v1", "v2")
+        if verdict is not Verdict.OPEN:
+            return verdict, cause
+    return Verdict.OPEN, ""
+
+
+@pytest.mark.parametrize(
+    ("failure_rate", "slow", "expected"),
+    [
+        (0.001, 1.0, Verdict.GOOD),
+        (0.3, 1.0, Verdict.BAD),
+        (0.05, 1.0, Verdict.BAD),
+        (0.001, 3.0, Verdict.BAD),
+        (0.001, 1.8, Verdict.BAD),
+    ],
+)
+def test_verdicts(failure_rate, slow, expected):
+    verdicts = [verdict_of(seed, failure_rate, slow) for seed in range(10)]
+    assert {verdict for verdict, _ in verdicts} == {expected}
+    assert all(bool(c) == (expected is Verdict.BAD) for _, c in verdicts)
+
+
+def test_version_that_is_as_bad_as_the_old_one_is_not_taken_back():
+    verdicts = {verdict_of(s, 0.05, old_rate=0.05)[0] for s in range(10)}
+    assert verdicts == {Verdict.GOOD}
+
+
+def part(version):
+    snapshot = Snapshot(version, 1)
+    return Part("p", "q", "a", 0, snapshot, "{}", 1.0, "f", True, "r")
+
+
+def test_entry_stops_by_itself_when_most_answers_are_failures():
+    book = TallyBook()
+    move = Move("r", "v1", "v2", 0.0, 60.0, MoveState.CANARY)
+    follow(book, {"r": move})
+    bad = Observed(part("v2"), ErrorReply(Reason.UPSTREAM_ERROR), 0.1, True)
+    good = Observed(part("v1"), RowsReply(part("v1").snapshot, ()), 0.1, True)
+    for _ in range(8):
+        observe(book, good)
+        observe(book, bad)
+    assert book.blocked == {("r", "v2")}
+    sums = {tally.version: tally for tally in take(book)}
+    assert (sums["v1"].answered, sums["v2"].failed) == (8, 8)
+    assert take(book) == ()
+    follow(book, {})
+    assert not book.blocked
+
+
+def test_routes_that_do_not_move_are_not_counted():
+    book = TallyBook()
+    seen = Observed(part("v1"), RowsReply(part("v1").snapshot, ()), 0.1, True)
+    observe(book, seen)
+    assert take(book) == ()
