--- /dev/null
+++ b/berylspool/tests/cluster.py
@@ -0,0 +1,247 @@
+"""A whole deployment in one event loop, on ports that the kernel chose."""
+
+import asyncio
+import contextlib
+import socket
+import time
+
+import orjson
+
+from berylspool.connection.http import connect
+from berylspool.process.control import Control
+from berylspool.process.entry import Entry
+from berylspool.process.settings import Settings, split_address
+from berylspool.process.standin import standins_of
+from berylspool.version.schema import to_configuration
+
+__all__ = ["Cluster", "cluster", "post"]
+
+PATIENCE_S = 20.0
+
+
+def free_ports(count):
+    """Return ports that the kernel says are free."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def make_settings(folder, entries, controls, shards, **changes):
+    """Return settings with one wide and one narrow route."""
+    ports = iter(free_ports(2 * entries + 2 * controls + 4 * shards + 8))
+
+    def address():
+        return f"127.0.0.1:{next(ports)}"
+
+    def service(name):
+        upstreams = {
+            f"{name}-{version}-{zone}": {
+                "address": address(),
+                "zone": zone,
+                "version": version,
+            }
+            for version in ("v1", "v2")
+            for zone in ("a", "b")
+        }
+        limits = {"slots": 3, "connections": 30, "ramp_s": 0.2}
+        return {"limits": limits, "upstreams": upstreams}
+
+    names = [f"wide-{i}" for i in range(shards)]
+    data = {
+        "entries": {
+            f"entry-{i}": {
+                "address": address(),
+                "peer_address": address(),
+                "zone": "ab"[i % 2],
+                "notice_s": 0.1,
+            }
+            for i in range(entries)
+        },
+        "controls": {
+            f"control-{i}": {
+                "address": address(),
+                "admin_address": address(),
+                "zone": "a",
+                "data_folder": str(folder / f"control-{i}"),
+            }
+            for i in range(controls)
+        },
+        "initial": {
+            "zones": ["a", "b"],
+            "services": {n: service(n) for n in [*names, "narrow"]},
+            "routes": {
+                "wide": {
+                    "stable": "v1",
+                    "versions": {
+                        v: {"partition": p, "services": names}
+                        for v, p in (("v1", 1), ("v2", 2))
+                    },
+                },
+                "narrow": {
+                    "stable": "v1",
+                    "versions": {
+                        "v1": {"partition": 1, "services": ["narrow"]}
+                    },
+                },
+            },
+        },
+        "event_loop": "asyncio",
+        **changes,
+    }
+    return Settings.model_validate(data)
+
+
+class Cluster:
+    """Entries, control nodes and stand-ins, and what the stand-ins saw."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.records = []
+        self.entry_by_name = {}
+        self.control_by_name = {}
+        self.standin_by_id = {
+            standin.upstream.id: standin
+            for standin in standins_of(
+                to_configuration(settings.initial),
+                settings.standin,
+                time.monotonic,
+                self.records.append,
+            )
+        }
+        self.tasks = {}
+
+    async def start(self):
+        for standin in self.standin_by_id.values():
+            standin.start()
+        for name in self.settings.controls:
+            self.start_control(name)
+        for name in self.settings.entries:
+            await self.start_entry(name)
+        await self.until(
+            lambda: all(e.is_ready.value for e in self.entry_by_name.values())
+        )
+        await self.until(self.is_settled)
+
+    def is_settled(self):
+        names = set(self.entry_by_name)
+        return all(
+            set(e.router.table.value.member_by_name) >= names
+            and e.router.routing.proposed is None
+            and e.router.routing.linked == names - {e.name}
+            for e in self.entry_by_name.values()
+        )
+
+    def start_control(self, name, is_init=True):
+        control = Control(name, self.settings, is_init)
+        self.control_by_name[name] = control
+        control._start()
+        self.tasks[name] = asyncio.ensure_future(control._serve())
+
+    async def start_entry(self, name):
+        entry = Entry(name, self.settings)
+        self.entry_by_name[name] = entry
+        await entry.start()
+
+    async def kill_entry(self, name):
+        """End an entry at once, as a kill does."""
+        entry = self.entry_by_name.pop(name)
+        for task in entry._tasks:
+            task.cancel()
+        entry.callers.stop_listening()
+        entry.router.server.stop()
+        for session in list(entry.router.server.session_by_id.values()):
+            session._stream.close()
+        await asyncio.gather(*entry._tasks, return_exceptions=True)
+
+    async def kill_control(self, name):
+        control = self.control_by_name.pop(name)
+        for task in (self.tasks.pop(name), *control._tasks):
+            task.cancel()
+        control._server.stop()
+        for session in list(control._server.session_by_id.values()):
+            session._stream.close()
+        control._admin._server.stop()
+        control.replica.storage.close()
+        await asyncio.sleep(0.05)
+
+    def leader(self):
+        return next(
+            (
+                name
+                for name, control in self.control_by_name.items()
+                if control.replica.has_quorum_contact()
+            ),
+            None,
+        )
+
+    async def until(self, condition):
+        async with asyncio.timeout(PATIENCE_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def command(self, text, **fields):
+        """Send an operator's command to the leader."""
+        await self.until(self.leader)
+        address = self.settings.controls[self.leader()].admin_address
+        body = {"command": text, **fields}
+        return await post(address, "/v1/command", body)
+
+    async def query(self, entry, route="wide", path="/v1/query", **fields):
+        address = self.settings.entries[entry].address
+        body = {
+            "route": route,
+            "query": {"q": 1},
+            "deadline_ms": 5000,
+            **fields,
+        }
+        return await post(address, path, body)
+
+    def runs(self, **fields):
+        """Return records of parts that ran at a stand-in."""
+        return [
+            r
+            for r in self.records
+            if r["event"] == "run"
+            and all(r[name] == value for name, value in fields.items())
+        ]
+
+    async def stop(self):
+        for name in list(self.entry_by_name):
+            await self.kill_entry(name)
+        for name in list(self.control_by_name):
+            await self.kill_control(name)
+        for standin in self.standin_by_id.values():
+            if standin.server is not None:
+                standin.server.stop()
+            for stream in list(standin.streams):
+                stream.close()
+        await asyncio.sleep(0.05)
+
+
+async def post(address, path, body):
+    """Post JSON, or raw bytes, and return status and decoded body."""
+    data = body if isinstance(body, bytes) else orjson.dumps(body)
+    stream = await connect(*split_address(address), 2.0)
+    try:
+        headers = {"Host": "x", "Content-Length": str(len(data))}
+        reply = await stream.send("POST", path, headers, data)
+    finally:
+        stream.close()
+    return reply.status, orjson.loads(reply.body) if reply.body else None
+
+
+@contextlib.asynccontextmanager
+async def cluster(folder, entries=2, controls=1, shards=3, **changes):
+    """Run a deployment for the length of a test."""
+    running = Cluster(
+        make_settings(folder, entries, controls, shards, **changes)
+    )
+    try:
+        await running.start()
+        yield running
+    finally:
+        await running.stop()
--- /dev/null
+++ b/berylspool/tests/test_pages.py
@@ -0,0 +1,77 @@
+"""Pages that must agree with the code."""
+
+import dataclasses
+import re
+from pathlib import Path
+
+import yaml
+
+from berylspool.connection.caller import (
+    ROUTES,
+    STATUS_BY_REASON,
+    CommandBody,
+    QueryBody,
+)
+from berylspool.process.event import catalogue
+from berylspool.request.query import Reason
+
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / "docs"
+SHAPE = (
+    "- Layout: by life span: what lives for a request, a connection, a "
+    "version, a process."
+)
+
+
+def test_log_catalogue_agrees_with_the_code():
+    rows = re.findall(
+        r"^\| (\d+) \| `(\w+)` \| .* \| (.*) \|$",
+        (DOCS / "LOGS.md").read_text(),
+        re.MULTILINE,
+    )
+    written = {int(n): (name, fields) for n, name, fields in rows}
+    expected = {
+        number: (
+            cls.__name__,
+            ", ".join(f"`{f.name}`" for f in dataclasses.fields(cls)),
+        )
+        for number, cls in catalogue().items()
+    }
+    assert written == expected
+
+
+def test_openapi_agrees_with_the_handlers():
+    page = yaml.safe_load((DOCS / "openapi.yaml").read_text())
+    assert set(page["paths"]) == {path for path, _ in ROUTES}
+    for path, handler in ROUTES:
+        for method in page["paths"][path]:
+            assert method in handler.__dict__ or hasattr(handler, method)
+    for model in (QueryBody, CommandBody):
+        schema = page["components"]["schemas"][model.__name__]
+        real = model.model_json_schema()
+        assert set(schema["properties"]) == set(real["properties"])
+        assert set(schema["required"]) == set(real["required"])
+        for name, written in schema["properties"].items():
+            for key in ("minimum", "maximum", "minLength", "maxLength"):
+                assert written.get(key) == real["properties"][name].get(key)
+
+
+def test_every_status_and_reason_is_on_the_callers_page():
+    page = (DOCS / "CALLERS.md").read_text()
+    for reason in Reason:
+        assert f"`{reason}`" in page
+    openapi = yaml.safe_load((DOCS / "openapi.yaml").read_text())
+    command = openapi["paths"]["/v1/command"]["post"]["responses"]
+    assert {str(s) for s in STATUS_BY_REASON.values()} <= set(command)
+
+
+def test_shape_is_on_the_developers_page():
+    assert SHAPE in (ROOT / "CONTRIBUTING.md").read_text()
+
+
+def test_design_page_maps_every_module():
+    page = (DOCS / "DESIGN.md").read_text()
+    for folder in ("request", "connection", "version", "process"):
+        for path in (ROOT / "berylspool" / folder).glob("*.py"):
+            if path.stem != "__init__":
+                assert f"`{path.stem}`" in page, path
