Hedges that wait for a token and for their turn, on any upstream

Cause: at load 0.6 one query in a hundred still waited for a straggler: a hedge that found no token was never tried again, a second hedge had no third upstream to go to, and the learnt delay followed winners only and crept down until the budget was spent on copies that were not slow. Change: a hedge without a token tries again after the delay; once all upstreams were tried, any free slot will do; a losing copy counts with its time so far; hedges wait in turn by the age of their request (`hedges_in_turn`).

--- a/bench/tail.py
+++ b/bench/tail.py
@@ -8,6 +8,9 @@
 import asyncio
 import json
 import time
+from pathlib import Path
+
+import yaml
 
 from bench.deployment import deployment
 from berylspool.process.load import LoadPlan, run_load, summary
@@ -15,6 +18,7 @@
 
 POLICIES = {
     "owned": {},
+    "owned_hedges_last": {"hedges_in_turn": False},
     "owned_no_hedges": {"hedges": 0},
     "alone_random": {"sharing": "alone", "choice": "random", "hedges": 0},
     "alone_fewest": {
@@ -63,6 +67,12 @@
         },
         "log": {"path": "log.jsonl", "decisions": False},
     }
+    # Entries that do not share an owner need more connections than the
+    # deployments allow; the limit is lifted for all policies alike.
+    path = Path("examples") / f"{args.example}.yaml"
+    services = yaml.safe_load(path.read_text())["initial"]["services"]
+    lifted = {n: {"limits": {"connections": 100}} for n in services}
+    changes["initial"] = {"services": lifted}
     figures = []
     with deployment(args.example, changes, entries=args.entries) as running:
         entries = running.settings["entries"].values()
--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry.py
@@ -66,6 +66,7 @@
     return Tuning(
         choice=choice_by_name[settings.choice],
         hedges=settings.hedges,
+        hedges_in_turn=settings.hedges_in_turn,
         hedge_percentile=settings.hedge_percentile,
         extra_ratio=settings.extra_ratio,
         queue_limit=settings.queue_limit,
--- a/berylspool/process/settings.py
+++ b/berylspool/process/settings.py
@@ -45,6 +45,7 @@
     choice: Literal["zone_aware", "fewest_in_flight", "random"] = "zone_aware"
     crossing_ms: float = Field(1.0, ge=0)
     hedges: int = Field(2, ge=0, le=4)
+    hedges_in_turn: bool = True
     hedge_percentile: float = Field(96.0, gt=50, lt=100)
     extra_ratio: float = Field(0.05, ge=0, le=1)
     queue_limit: int = Field(256, ge=1)
--- a/berylspool/version/admission.py
+++ b/berylspool/version/admission.py
@@ -200,11 +200,14 @@
         or job.hedges >= pool.tuning.hedges
         or not job.part.idempotent
         or is_suspect(pool.suspicion, job.part.fingerprint)
-        or not withdraw(pool.budget)
     ):
         return
+    if not withdraw(pool.budget):
+        moment = now + pool.delay.delay_s
+        set_timer(pool, moment, job.part.id, TimerKind.HEDGE)
+        return
     job.hedges += 1
-    enqueue(pool, job, is_hedge=True)
+    enqueue(pool, job, is_hedge=not pool.tuning.hedges_in_turn)
 
 
 def _dispatch(pool: Pool, now: float) -> list[PoolAction]:
--- a/berylspool/version/attempt.py
+++ b/berylspool/version/attempt.py
@@ -48,6 +48,7 @@
     """Handle an upstream's reply to an attempt."""
     attempt = end_attempt(pool, event.attempt_id)
     if attempt is None:
+        _learn_late(pool, event, now)
         return []
     view = pool.view_by_upstream.get(attempt.upstream_id)
     if view is not None:
@@ -66,6 +67,8 @@
         case RowsReply(snapshot=snapshot, rows=rows):
             pool.mean_s += LATENCY_GAIN * (latency_s - pool.mean_s)
             observe(pool.delay, latency_s)
+            for other in job.attempt_by_id.values():
+                observe(pool.delay, now - other.sent_at)
             clear(pool.suspicion, job.part.fingerprint)
             result = PartRows(job.part.id, snapshot, rows, job.sends)
             return [seen, *resolve(pool, job, result)]
@@ -79,6 +82,15 @@
     return []
 
 
+def _learn_late(pool: Pool, event: AttemptAnswered, now: float) -> None:
+    """Learn from a reply on a connection that was taken for silent."""
+    for view in pool.view_by_upstream.values():
+        if event.connection_id in view.connection_by_id and isinstance(
+            event.reply, NotRunReply
+        ):
+            _learn(view, event.reply, 0.0, now)
+
+
 def _learn(
     view: UpstreamView, reply: UpstreamReply, latency_s: float, now: float
 ) -> None:
@@ -124,8 +136,6 @@
         or not withdraw(pool.budget)
     ):
         return fail(pool, job, job.last_reason)
-    if len(job.tried) >= len(pool.view_by_upstream):
-        job.tried.clear()
     set_timer(pool, now + delay_s, job.part.id, TimerKind.RETRY)
     return []
 
--- a/berylspool/version/pool_state.py
+++ b/berylspool/version/pool_state.py
@@ -38,7 +38,7 @@
 ]
 
 FIRST_MEAN_S = 0.005
-FIRST_HEDGE_DELAY_S = 0.05
+FIRST_HEDGE_DELAY_S = 0.25
 MOST_TOKENS = 10.0
 SHORTEST_RETRY_AFTER_S = 0.05
 
@@ -50,6 +50,8 @@
     Attributes:
         choice: How an upstream is chosen.
         hedges: Most hedges of one part.
+        hedges_in_turn: Whether a hedge waits in turn with first copies, by
+            the age of its request, rather than behind all of them.
         hedge_percentile: Percentile that the hedge delay follows.
         extra_ratio: Extra copies allowed for each first copy.
         queue_limit: Most parts that wait in one pool.
@@ -60,6 +62,7 @@
 
     choice: Choice
     hedges: int = 2
+    hedges_in_turn: bool = True
     hedge_percentile: float = 96.0
     extra_ratio: float = 0.05
     queue_limit: int = 256
--- a/berylspool/version/tail.py
+++ b/berylspool/version/tail.py
@@ -16,8 +16,8 @@
 MICROSECONDS_PER_SECOND = 1_000_000
 LONGEST_US = 60 * MICROSECONDS_PER_SECOND
 SIGNIFICANT_DIGITS = 2
-WINDOW_SAMPLES = 250
-FIRST_WINDOW_SAMPLES = 50
+WINDOW_SAMPLES = 500
+STEP_SAMPLES = 50
 
 
 @dataclass(slots=True)
@@ -65,30 +65,40 @@
 class HedgeDelay:
     """Learns the hedge delay of one service.
 
+    The delay follows a percentile over all attempts.  A copy that lost to a
+    hedge counts with the time it had taken by then; without it the slow ones
+    would vanish from what is learnt, and the delay would creep down.
+
     Attributes:
-        percentile: Percentile of answer times that the delay follows.
+        percentile: Percentile of attempt times that the delay follows.
         delay_s: Delay in seconds; the start value until enough is known.
-        window: Answer times of the running window, in microseconds.
+        window: Attempt times of the running window, in microseconds.
+        former: Attempt times of the window before.
     """
 
     percentile: float
     delay_s: float
     window: HdrHistogram = field(default_factory=_histogram)
-    needed: int = FIRST_WINDOW_SAMPLES
+    former: HdrHistogram = field(default_factory=_histogram)
 
 
-def observe(delay: HedgeDelay, latency_s: float) -> None:
-    """Add one answer time; every full window sets the delay anew.
+def observe(delay: HedgeDelay, elapsed_s: float) -> None:
+    """Add one attempt, and learn anew every `STEP_SAMPLES` attempts.
 
     Args:
         delay: Learner to update.
-        latency_s: Time from send to answer, in seconds.
+        elapsed_s: Time from send to answer or cancellation, in seconds.
     """
-    delay.window.record_value(
-        max(1, min(LONGEST_US, int(latency_s * MICROSECONDS_PER_SECOND)))
-    )
-    if delay.window.total_count >= delay.needed:
-        learnt = delay.window.get_value_at_percentile(delay.percentile)
-        delay.delay_s = learnt / MICROSECONDS_PER_SECOND
-        delay.window.reset()
-        delay.needed = WINDOW_SAMPLES
+    elapsed_us = int(elapsed_s * MICROSECONDS_PER_SECOND)
+    delay.window.record_value(max(1, min(LONGEST_US, elapsed_us)))
+    count = delay.window.total_count
+    if count % STEP_SAMPLES:
+        return
+    both = _histogram()
+    both.add(delay.window)
+    both.add(delay.former)
+    learnt_us = both.get_value_at_percentile(delay.percentile)
+    delay.delay_s = learnt_us / MICROSECONDS_PER_SECOND
+    if count >= WINDOW_SAMPLES:
+        delay.former = delay.window
+        delay.window = _histogram()
--- a/berylspool/version/upstream_view.py
+++ b/berylspool/version/upstream_view.py
@@ -143,6 +143,15 @@
     return None
 
 
+def _has_untried(views: Iterable[UpstreamView], tried: frozenset[str]) -> bool:
+    return any(
+        view.is_serving
+        and not view.is_draining
+        and view.upstream.id not in tried
+        for view in views
+    )
+
+
 def choose(
     views: Iterable[UpstreamView],
     choice: Choice,
@@ -157,23 +166,26 @@
         views: Upstreams of the pool.
         choice: Policy to follow.
         part_id: Part to send; breaks ties.
-        tried: Upstreams that the part was sent to before.
+        tried: Upstreams that the part was sent to before; they come last.
         warm_only: Whether cold upstreams are excluded, as for retries
             after a lost upstream.
         now: Monotonic time in seconds.
 
     Returns:
-        The chosen upstream, or None if none has a free slot, an idle
-        connection and was not tried.
+        The chosen upstream, or None if none has a free slot and an idle
+        connection, or if one that was not tried may soon have them.
     """
     candidates = [
         view
         for view in views
-        if view.upstream.id not in tried
-        and free_slots(view, now) > 0
+        if free_slots(view, now) > 0
         and (not warm_only or is_warm(view.ramp, view.limits, now))
         and idle_connection(view) is not None
     ]
+    untried = [v for v in candidates if v.upstream.id not in tried]
+    if not untried and _has_untried(views, tried):
+        return None
+    candidates = untried or candidates
     if not candidates:
         return None
 
