Split consensus and routing; grants without tables; owners kept, not hashed

Cause: the slopes showed what could not grow: every grant carried the whole table of members (49 bytes an entry, four times a second), every part hashed its service against all members (60 us for 100), and connections were counted at each event of a pool. Change: tables travel once, as a change of the one an entry has; owners are kept by service and a change of members looks only at who joined or left; connections are looked at when they can have changed; consensus is node, election, replication and step; routing's messages are a module. Upstream changes are logged, lease, members, requests in flight and replies are exported.

--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,324 @@
+"""Measures the slopes behind docs/CAPACITY.md, each at three sizes.
+
+Usage: python -m bench.slopes [--out FILE]
+
+Each slope is a least-squares line over the sizes, with the largest relative
+error of the fit.
+"""
+
+import argparse
+import json
+import resource
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from berylspool.connection.control_message import (
+    ConfigurationSent,
+    Grant,
+    Heartbeat,
+    TableSent,
+    control_codec,
+)
+from berylspool.connection.frame import HEADER_BYTES
+from berylspool.connection.message import (
+    AskPart,
+    Member,
+    MemberTable,
+    peer_codec,
+)
+from berylspool.process import membership
+from berylspool.process.change import (
+    Configure,
+    ControlState,
+    Intend,
+    apply_change,
+    change_codec,
+    encode_state,
+)
+from berylspool.request.query import Part, PartRows, Snapshot
+from berylspool.version.admission import step
+from berylspool.version.configuration import (
+    Configuration,
+    Limits,
+    Route,
+    Service,
+    Upstream,
+    Version,
+    Zone,
+    ZoneState,
+)
+from berylspool.version.operation import SetZone, apply_all, operation_codec
+from berylspool.version.placement import owners_after, owners_by_service
+from berylspool.version.pool_message import (
+    AttemptAnswered,
+    Connect,
+    ConnectionOpened,
+    PartArrived,
+    Reconfigured,
+    RowsReply,
+    Send,
+)
+from berylspool.version.pool_state import Pool, Tuning
+from berylspool.version.upstream_view import ZoneAware
+
+SIZES = (500, 1000, 2000)
+REPEATS = 5
+SNAPSHOT = Snapshot("v1", 1)
+
+
+def fit(points: list[tuple[float, float]]) -> dict[str, float]:
+    """Return slope, intercept and largest relative error of a line."""
+    n = len(points)
+    mean_x = sum(x for x, _ in points) / n
+    mean_y = sum(y for _, y in points) / n
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / sum(
+        (x - mean_x) ** 2 for x, _ in points
+    )
+    intercept = mean_y - slope * mean_x
+    error = max(abs(slope * x + intercept - y) / y for x, y in points if y)
+    return {"slope": slope, "intercept": intercept, "error": error}
+
+
+def cpu_s(work: Callable[[], object]) -> float:
+    """Return the least processor time of several runs, in seconds."""
+    times = []
+    for _ in range(REPEATS):
+        before = time.process_time()
+        work()
+        times.append(time.process_time() - before)
+    return min(times)
+
+
+def make_configuration(upstreams: int) -> Configuration:
+    services = {}
+    zones = {f"z{i}": Zone(f"z{i}") for i in range(17)}
+    for number in range(upstreams // 4):
+        name = f"service-{number:05d}"
+        members = {
+            f"{name}-{i}": Upstream(
+                f"{name}-{i}", "10.0.0.1", 8000 + i, f"z{i}", "v1"
+            )
+            for i in range(4)
+        }
+        services[name] = Service(name, (), Limits(), members)
+    version = Version("v1", 1, tuple(services))
+    route = Route("r", "v1", {"v1": version})
+    return Configuration(1, zones, services, {"r": route})
+
+
+def configuration_bytes(upstreams: int) -> float:
+    message = ConfigurationSent(make_configuration(upstreams))
+    return len(control_codec().encode([message]))
+
+
+def configuration_decode_s(upstreams: int) -> float:
+    message = ConfigurationSent(make_configuration(upstreams))
+    codec = control_codec()
+    body = codec.encode([message])[HEADER_BYTES:]
+    return cpu_s(lambda: codec.decode(body))
+
+
+def configuration_memory_bytes(upstreams: int) -> float:
+    tracemalloc.start()
+    kept = make_configuration(upstreams)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert kept.revision == 1
+    return size
+
+
+def delta_apply_s(upstreams: int) -> float:
+    before = make_configuration(upstreams)
+    operations = (SetZone("z1", ZoneState.OUT),)
+    return cpu_s(lambda: apply_all(before, operations, 0.0))
+
+
+def placement_s(services: int) -> float:
+    names = [f"service-{i}" for i in range(services)]
+    members = [f"entry-{i}" for i in range(100)]
+    return cpu_s(lambda: owners_by_service(names, members))
+
+
+def placement_change_s(services: int) -> float:
+    """Owners after one of 100 members was replaced."""
+    names = [f"service-{i}" for i in range(services)]
+    before = [f"entry-{i}" for i in range(100)]
+    after = [*before[1:], "entry-new"]
+    former = owners_by_service(names, before)
+    return cpu_s(lambda: owners_after(former, before, after))
+
+
+def heartbeats_s(entries: int) -> float:
+    """Time of the leader to hear one heartbeat of each entry."""
+    codec = control_codec()
+    bodies = [
+        codec.encode(
+            [
+                Heartbeat(
+                    Member(f"entry-{i}", "10.0.0.1", 1),
+                    "b",
+                    1,
+                    0,
+                    False,
+                    1,
+                    0.0,
+                )
+            ]
+        )[HEADER_BYTES:]
+        for i in range(entries)
+    ]
+    state = membership.Membership(2.0)
+
+    def work() -> None:
+        for body in bodies:
+            [beat] = codec.decode(body)
+            heard = membership.Heard(
+                beat.member,
+                beat.boot,
+                beat.revision,
+                beat.drained_epoch,
+                beat.is_leaving,
+            )
+            membership.step(state, heard, 0.0)
+            codec.encode([Grant(beat.sent_at, 2.0, 1, 1)])
+
+    return cpu_s(work)
+
+
+def table_bytes(entries: int) -> float:
+    members = {
+        f"entry-{i}": Member(f"entry-{i}", "10.0.0.1", 8000)
+        for i in range(entries)
+    }
+    sent = TableSent(MemberTable(1, True, members))
+    return len(control_codec().encode([sent]))
+
+
+def ledger_apply_s(commands: int) -> float:
+    changes = [Intend(f"k{i}", "f" * 32, f"r{i}", 0.0) for i in range(commands)]
+
+    def work() -> None:
+        state = ControlState()
+        for change in changes:
+            apply_change(state, change)
+
+    return cpu_s(work)
+
+
+def ledger_state_bytes(commands: int) -> float:
+    state = ControlState()
+    for i in range(commands):
+        apply_change(state, Intend(f"key-{i}", "f" * 32, f"r{i}", 0.0))
+    return len(encode_state(state))
+
+
+def changes_bytes(changes: int) -> float:
+    """Bytes of the log for so many changes of the configuration."""
+    operations = operation_codec().encode([SetZone("z1", ZoneState.OUT)])
+    change = Configure(
+        "c" * 32, 1, operations[HEADER_BYTES:], "zone z1 out", "change", 0.0
+    )
+    return changes * len(change_codec().encode([change]))
+
+
+def make_part(number: int) -> Part:
+    return Part(
+        f"p{number}",
+        f"r{number}",
+        "s",
+        0,
+        SNAPSHOT,
+        '{"q": 1}',
+        1.0,
+        "f" * 32,
+        True,
+        "r",
+    )
+
+
+def frames_s(parts: int) -> float:
+    """Encode and decode asks and rows, 64 in a frame, as two entries do."""
+    codec = peer_codec()
+    asks = [AskPart(make_part(i)) for i in range(parts)]
+    rows = [PartRows(f"p{i}", SNAPSHOT, ({"row": i},), 1) for i in range(parts)]
+
+    def work() -> None:
+        for messages in (asks, rows):
+            for start in range(0, parts, 64):
+                frame = codec.encode(messages[start : start + 64])
+                codec.decode(frame[HEADER_BYTES:])
+
+    return cpu_s(work)
+
+
+def admission_s(parts: int) -> float:
+    """Decisions of a warm pool: arrival, send and answer of each part."""
+    upstreams = tuple(
+        Upstream(f"u{i}", "10.0.0.1", 1, "z", "v1") for i in range(2)
+    )
+    pool = Pool("s", "v1", Tuning(ZoneAware("z", 0.001)))
+    actions = step(pool, Reconfigured(upstreams, Limits()), 0.0)
+    for action in actions:
+        if isinstance(action, Connect):
+            opened = ConnectionOpened(
+                action.connection_id, action.upstream.id, "i"
+            )
+            step(pool, opened, 0.0)
+    asked = [make_part(i) for i in range(parts)]
+    reply = RowsReply(SNAPSHOT, (1,))
+    now = 0.0
+
+    def work() -> None:
+        nonlocal now
+        for part in asked:
+            now += 0.001
+            for action in step(pool, PartArrived(part), now):
+                if isinstance(action, Send):
+                    answer = AttemptAnswered(
+                        action.connection_id, action.attempt_id, "i", 0, reply
+                    )
+                    step(pool, answer, now)
+
+    return cpu_s(work)
+
+
+SLOPES: dict[str, tuple[Callable[[int], float], str]] = {
+    "configuration, encoded": (configuration_bytes, "bytes an upstream"),
+    "configuration, decoding": (configuration_decode_s, "s an upstream"),
+    "configuration, memory": (configuration_memory_bytes, "bytes an upstream"),
+    "delta, applying": (delta_apply_s, "s an upstream"),
+    "placement on 100 members": (placement_s, "s a service"),
+    "placement, one replaced": (placement_change_s, "s a service"),
+    "heartbeat and grant": (heartbeats_s, "s an entry"),
+    "table of members, encoded": (table_bytes, "bytes an entry"),
+    "ledger, applying": (ledger_apply_s, "s a command"),
+    "ledger, state": (ledger_state_bytes, "bytes a command"),
+    "change in the log": (changes_bytes, "bytes a change"),
+    "frames between entries": (frames_s, "s a part"),
+    "admission": (admission_s, "s a part"),
+}
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--out", default="")
+    args = parser.parse_args()
+    results = {}
+    for name, (measure, unit) in SLOPES.items():
+        points = [(float(size), measure(size)) for size in SIZES]
+        results[name] = {**fit(points), "unit": unit, "points": points}
+        line = results[name]
+        print(
+            f"{name:28} {line['slope']:12.4g} {unit:18} "
+            f"fit error {line['error']:.1%}"
+        )
+    peak_kb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    print(f"peak memory of this run: {peak_kb / 1024:.0f} MB")
+    if args.out:
+        with open(args.out, "w", encoding="utf-8") as file:
+            json.dump(results, file, indent=1)
+
+
+if __name__ == "__main__":
+    main()
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -32,6 +32,8 @@
     "Grant",
     "Heartbeat",
     "NotLeader",
+    "TableDelta",
+    "TableSent",
     "Tally",
     "consensus_codec",
     "control_codec",
@@ -67,6 +69,7 @@
         revision: Configuration in force there.
         drained_epoch: Newest proposed table that it has drained for.
         is_leaving: Whether it shuts down.
+        table_epoch: Newest table that it has, active or proposed.
         sent_at: Its monotonic time, echoed by the grant.
         tallies: What it saw since the last heartbeat.
     """
@@ -76,6 +79,7 @@
     revision: int
     drained_epoch: int
     is_leaving: bool
+    table_epoch: int
     sent_at: float
     tallies: tuple[Tally, ...] = ()
 
@@ -88,15 +92,41 @@
         sent_at: Echo of the heartbeat; the lease runs from there.
         lease_s: Length of the lease in seconds.
         revision: Newest committed revision.
-        table: Newest table, active or proposed.
+        table_epoch: Newest table, active or proposed.
     """
 
     sent_at: float
     lease_s: float
     revision: int
+    table_epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class TableSent:
+    """A whole table of members."""
+
     table: MemberTable
 
 
+@dataclass(frozen=True, slots=True)
+class TableDelta:
+    """A table of members as a change of an earlier one.
+
+    Attributes:
+        base_epoch: Table that it changes.
+        epoch: Number of the new table.
+        is_active: Whether new owners may admit.
+        joined: Members that are new or have changed.
+        left: Names of members that are gone.
+    """
+
+    base_epoch: int
+    epoch: int
+    is_active: bool
+    joined: tuple[Member, ...]
+    left: tuple[str, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class NotLeader:
     """The node does not lead.
@@ -186,6 +216,8 @@
             Pong,
             Heartbeat,
             Grant,
+            TableSent,
+            TableDelta,
             NotLeader,
             ConfigurationSent,
             DeltaSent,
--- a/berylspool/process/control.py
+++ b/berylspool/process/control.py
@@ -26,11 +26,14 @@
     Grant,
     Heartbeat,
     NotLeader,
+    TableDelta,
+    TableSent,
     consensus_codec,
     control_codec,
 )
 from berylspool.connection.frame import HEADER_BYTES
 from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.message import MemberTable
 from berylspool.connection.peer import Link, LinkServer, Session
 from berylspool.exception import (
     ProtocolError,
@@ -79,6 +82,7 @@
 VERSION = "0.1.0"
 TICK_S = 0.05
 KEPT_DELTAS = 500
+KEPT_TABLES = 50
 WAIT_TIMEOUT_S = 30.0
 CHANGES_PER_RECORD = 512
 NO_TAG = 0
@@ -172,6 +176,7 @@
         self._random = random.Random(secrets.randbits(64))
         self._owed = Owed()
         self._deltas: list[DeltaSent] = []
+        self._tables: dict[int, MemberTable] = {}
         self._messages = consensus_codec()
         self._link_by_name: dict[str, Link] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -348,12 +353,15 @@
         state = self.replica.state
         if beat.revision != state.configuration.revision:
             self._send_configuration(session, beat.revision)
+        table = state.proposed or state.active
+        if beat.table_epoch != table.epoch:
+            self._send_table(session, beat.table_epoch, table)
         session.inbox.put(
             Grant(
                 beat.sent_at,
                 self.settings.lease_s,
                 state.configuration.revision,
-                state.proposed or state.active,
+                table.epoch,
             )
         )
 
@@ -367,6 +375,19 @@
         configuration = self.replica.state.configuration
         session.inbox.put(ConfigurationSent(configuration))
 
+    def _send_table(
+        self, session: Session, base_epoch: int, table: MemberTable
+    ) -> None:
+        """Send a table, as a change of the one that an entry has."""
+        base = self._tables.get(base_epoch)
+        if base is None:
+            session.inbox.put(TableSent(table))
+            return
+        joined, left = membership.difference(base, table)
+        session.inbox.put(
+            TableDelta(base_epoch, table.epoch, table.is_active, joined, left)
+        )
+
     def submit(
         self,
         change: Change,
@@ -468,6 +489,9 @@
                     self._changed(result, result.change)
                 case Seat(table=table):
                     self._seated()
+                    self._tables[table.epoch] = table
+                    if len(self._tables) > KEPT_TABLES:
+                        del self._tables[min(self._tables)]
                     names = ",".join(sorted(table.member_by_name))
                     self._log.put(
                         MembersChanged(table.epoch, names, table.is_active)
--- a/berylspool/process/control_client.py
+++ b/berylspool/process/control_client.py
@@ -11,6 +11,8 @@
     Grant,
     Heartbeat,
     NotLeader,
+    TableDelta,
+    TableSent,
     Tally,
     control_codec,
 )
@@ -29,6 +31,7 @@
     LeaseChanged,
     LinkChanged,
 )
+from berylspool.process.membership import changed_table
 from berylspool.process.settings import Settings, split_address
 from berylspool.version.configuration import Configuration
 from berylspool.version.operation import apply_all, operation_codec
@@ -171,6 +174,7 @@
             self._configuration.revision,
             self._drained_epoch,
             self._is_leaving,
+            self._table.epoch,
             now,
             self._tallies(),
         )
@@ -213,6 +217,18 @@
             case NotLeader(leader=leader):
                 if self._leader == node:
                     self._leader = leader
+            case TableSent(table=table):
+                self._seat(table)
+            case TableDelta(base_epoch=base) if base == self._table.epoch:
+                self._seat(
+                    changed_table(
+                        self._table,
+                        message.epoch,
+                        message.is_active,
+                        message.joined,
+                        message.left,
+                    )
+                )
             case ConfigurationSent(configuration=configuration):
                 self._apply(configuration)
             case DeltaSent():
@@ -224,18 +240,24 @@
                     asked.asked.inbox.put(message)
 
     def _grant(self, node: str, grant: Grant) -> None:
-        """Take a lease, if this entry has the configuration it is for."""
+        """Take a lease, if this entry has what it is for."""
         self._leader = node
-        if grant.table != self._table:
-            self._table = grant.table
-            self._seated(grant.table)
-        if self._configuration.revision < grant.revision:
+        is_behind = (
+            self._configuration.revision < grant.revision
+            or self._table.epoch < grant.table_epoch
+        )
+        if is_behind:
             return
         self._lease_until = max(
             self._lease_until, grant.sent_at + grant.lease_s
         )
         self._leased(self._lease_until)
 
+    def _seat(self, table: MemberTable) -> None:
+        if table.epoch > self._table.epoch:
+            self._table = table
+            self._seated(table)
+
     def _apply(self, configuration: Configuration) -> None:
         if configuration.revision <= self._configuration.revision:
             return
--- /dev/null
+++ b/berylspool/process/election.py
@@ -0,0 +1,148 @@
+"""Elections: pre-votes, votes and the start of a reign.
+
+Reference: Ongaro 2014, sections 3.4 and 9.6; leader stickiness is in 4.2.3.
+"""
+
+from berylspool.process.consensus_message import (
+    ConsensusAction,
+    PreVote,
+    PreVoteReply,
+    RecordKind,
+    RoleChanged,
+    SaveVote,
+    SendTo,
+    Vote,
+    VoteReply,
+)
+from berylspool.process.node import (
+    Node,
+    Progress,
+    Role,
+    follow,
+    is_quorum,
+    last_index,
+    newest_term,
+    peers,
+    reset_election,
+)
+from berylspool.process.replication import advance_commit, append_own, heartbeat
+
+__all__ = [
+    "start_pre_vote",
+    "is_current",
+    "on_pre_vote",
+    "on_vote",
+    "on_vote_reply",
+]
+
+
+def start_pre_vote(node: Node, now: float) -> list[ConsensusAction]:
+    """Ask whether an election could be won."""
+    node.role = Role.PRE_CANDIDATE
+    node.leader = ""
+    node.votes = {node.id}
+    reset_election(node, now)
+    if is_quorum(node, node.votes):
+        return _start_vote(node, now)
+    message = PreVote(node.term + 1, last_index(node), newest_term(node))
+    return [SendTo(peer, message) for peer in _other_voters(node)]
+
+
+def _other_voters(node: Node) -> list[str]:
+    return [voter for voter in node.group.voters if voter != node.id]
+
+
+def _start_vote(node: Node, now: float) -> list[ConsensusAction]:
+    node.role = Role.CANDIDATE
+    node.term += 1
+    node.voted_for = node.id
+    node.votes = {node.id}
+    reset_election(node, now)
+    actions: list[ConsensusAction] = [SaveVote(node.term, node.id)]
+    if is_quorum(node, node.votes):
+        return actions + _lead(node, now)
+    message = Vote(node.term, last_index(node), newest_term(node))
+    return actions + [SendTo(peer, message) for peer in _other_voters(node)]
+
+
+def _lead(node: Node, now: float) -> list[ConsensusAction]:
+    node.role = Role.LEADER
+    node.leader = node.id
+    node.quorum_at = float("-inf")
+    node.round_at.clear()
+    following = last_index(node) + 1
+    node.progress_by_peer = {
+        peer: Progress(following, heard_at=now) for peer in peers(node)
+    }
+    actions: list[ConsensusAction] = [RoleChanged(node.role, node.term)]
+    actions += append_own(node, RecordKind.NOOP, b"")
+    return actions + heartbeat(node, now) + advance_commit(node)
+
+
+def _is_sticky(node: Node, now: float) -> bool:
+    """Return whether a leader was heard too recently to help another."""
+    if node.role is Role.LEADER:
+        return True
+    return now - node.heard_at < node.timing.election_s
+
+
+def is_current(node: Node, last_term: int, index: int) -> bool:
+    """Return whether a log is at least as new as this one."""
+    return (last_term, index) >= (newest_term(node), last_index(node))
+
+
+def on_pre_vote(
+    node: Node, sender: str, message: PreVote, now: float
+) -> list[ConsensusAction]:
+    """Answer a pre-vote; nothing is promised."""
+    is_granted = (
+        message.term > node.term
+        and not _is_sticky(node, now)
+        and is_current(node, message.last_term, message.last_index)
+    )
+    reply = PreVoteReply(message.term if is_granted else node.term, is_granted)
+    return [SendTo(sender, reply)]
+
+
+def on_vote(
+    node: Node, sender: str, message: Vote, now: float
+) -> list[ConsensusAction]:
+    """Answer a vote; it is saved before it is sent."""
+    if message.term < node.term or _is_sticky(node, now):
+        return [SendTo(sender, VoteReply(node.term, False))]
+    actions: list[ConsensusAction] = []
+    if message.term > node.term:
+        actions += follow(node, message.term, "", now)
+    is_granted = node.voted_for in ("", sender) and is_current(
+        node, message.last_term, message.last_index
+    )
+    if is_granted:
+        node.voted_for = sender
+        reset_election(node, now)
+        actions.append(SaveVote(node.term, sender))
+    return [*actions, SendTo(sender, VoteReply(node.term, is_granted))]
+
+
+def on_vote_reply(
+    node: Node,
+    sender: str,
+    message: PreVoteReply | VoteReply,
+    now: float,
+) -> list[ConsensusAction]:
+    """Count a vote or a pre-vote."""
+    if not message.is_granted:
+        if message.term > node.term:
+            return follow(node, message.term, "", now)
+        return []
+    match message, node.role:
+        case PreVoteReply(term=term), Role.PRE_CANDIDATE if (
+            term == node.term + 1
+        ):
+            node.votes.add(sender)
+            if is_quorum(node, node.votes):
+                return _start_vote(node, now)
+        case VoteReply(term=term), Role.CANDIDATE if term == node.term:
+            node.votes.add(sender)
+            if is_quorum(node, node.votes):
+                return _lead(node, now)
+    return []
--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry.py
@@ -20,11 +20,12 @@
 from berylspool.process.current import Current
 from berylspool.process.event import ProcessStarted, ProcessStopped
 from berylspool.process.log import LogTask
+from berylspool.process.metric import count, set_gauge
 from berylspool.process.router import Router
-from berylspool.process.routing import (
+from berylspool.process.routing import Routing
+from berylspool.process.routing_message import (
     ConfigurationChanged,
     LeaseSet,
-    Routing,
     Sharing,
     ShuttingDown,
     TableChanged,
@@ -40,6 +41,7 @@
 from berylspool.request.query import Outcome, Query, Reason, Refusal
 from berylspool.request.serve import RequestTask
 from berylspool.version.configuration import Configuration, pin
+from berylspool.version.pool_message import Observed
 from berylspool.version.pool_state import Tuning
 from berylspool.version.schema import to_configuration
 from berylspool.version.upstream_view import (
@@ -113,7 +115,7 @@
             log=self.log.put,
             clock=clock,
             drained=lambda epoch: self._drained(epoch),
-            observed=lambda observed: observe(self.book, observed),
+            observed=self._observed,
         )
         self.state = EntryState(
             name,
@@ -163,6 +165,12 @@
         if self.control is not None:
             self.control.inbox.put(asked)
 
+    def _observed(self, observed: Observed) -> None:
+        observe(self.book, observed)
+        name = "berylspool_parts_total"
+        part, kind = observed.part, type(observed.reply).__name__
+        count(self.state.metrics, name, service=part.service, reply=kind)
+
     def _drained(self, epoch: int) -> None:
         if self.control is not None:
             self.control.inbox.put(Drained(epoch))
@@ -209,9 +217,24 @@
     async def _watch_readiness(self) -> None:
         """Be ready while the lease is held and the process is not closing."""
         while not self.is_closing:
-            self.is_ready.publish(self._clock() < self.lease_until)
+            is_held = self._clock() < self.lease_until
+            self.is_ready.publish(is_held)
+            self._export(is_held)
             await asyncio.sleep(READINESS_CHECK_S)
 
+    def _export(self, is_held: bool) -> None:
+        table = self.router.table.value
+        figures = {
+            "berylspool_lease_held": float(is_held),
+            "berylspool_in_flight": self.state.in_flight,
+            "berylspool_members": len(table.member_by_name),
+            "berylspool_configuration_revision": (
+                self.configuration.value.revision
+            ),
+        }
+        for name, value in figures.items():
+            set_gauge(self.state.metrics, name, value)
+
     def _start_alone(self) -> None:
         """Take the settings as the configuration, without control."""
         configuration = to_configuration(self.settings.initial)
--- a/berylspool/process/membership.py
+++ b/berylspool/process/membership.py
@@ -20,6 +20,8 @@
     "ProposeTable",
     "Seated",
     "Ticked",
+    "changed_table",
+    "difference",
     "in_force",
     "step",
 ]
@@ -171,6 +173,39 @@
     return having, len(live), is_settled and having == len(live)
 
 
+def difference(
+    base: MemberTable, table: MemberTable
+) -> tuple[tuple[Member, ...], tuple[str, ...]]:
+    """Return who joined or changed, and who left, from `base` to `table`.
+
+    Examples:
+        >>> one = Member("e1", "127.0.0.1", 1)
+        >>> difference(MemberTable(1, True, {"e1": one}), MemberTable(2))
+        ((), ('e1',))
+    """
+    former, members = base.member_by_name, table.member_by_name
+    joined = [m for name, m in members.items() if former.get(name) != m]
+    left = [name for name in former if name not in members]
+    return tuple(joined), tuple(left)
+
+
+def changed_table(
+    base: MemberTable,
+    epoch: int,
+    is_active: bool,
+    joined: tuple[Member, ...],
+    left: tuple[str, ...],
+) -> MemberTable:
+    """Return the table that `difference` led to."""
+    members = {
+        name: member
+        for name, member in base.member_by_name.items()
+        if name not in left
+    }
+    members.update((member.name, member) for member in joined)
+    return MemberTable(epoch, is_active, members)
+
+
 def _hear(membership: Membership, event: Heard, now: float) -> None:
     name = event.member.name
     view = membership.view_by_name.get(name)
--- a/berylspool/process/metric.py
+++ b/berylspool/process/metric.py
@@ -16,7 +16,7 @@
 
 HELP_BY_NAME = {
     "berylspool_requests_total": "Requests of callers, by route and outcome.",
-    "berylspool_parts_total": "Copies sent to upstreams, by service and kind.",
+    "berylspool_parts_total": "Replies of upstreams, by service and kind.",
     "berylspool_latency_seconds": "Time to answer, by route and quantile.",
     "berylspool_configuration_revision": "Configuration in force.",
     "berylspool_lease_held": "Whether the lease is held.",
--- a/berylspool/process/router.py
+++ b/berylspool/process/router.py
@@ -21,7 +21,8 @@
     MembersChanged,
     ServicePlaced,
 )
-from berylspool.process.routing import (
+from berylspool.process.routing import Routing, step
+from berylspool.process.routing_message import (
     BlameHeard,
     BlameRaised,
     LinkDown,
@@ -32,7 +33,6 @@
     PoolDrained,
     PoolKey,
     ResultCame,
-    Routing,
     RoutingAction,
     RoutingEvent,
     SessionClosed,
@@ -45,7 +45,6 @@
     ToPeers,
     ToPool,
     Woken,
-    step,
 )
 from berylspool.request.query import (
     PartFailed,
--- a/berylspool/process/routing.py
+++ b/berylspool/process/routing.py
@@ -6,11 +6,38 @@
 taken.
 """
 
-import enum
 from collections import deque
 from dataclasses import dataclass, field
 
 from berylspool.connection.message import AskPart, DropPart, MemberTable
+from berylspool.process.routing_message import (
+    BlameHeard,
+    BlameRaised,
+    ConfigurationChanged,
+    LeaseSet,
+    LinkDown,
+    LinkUp,
+    Origin,
+    PartDropped,
+    PartWanted,
+    PoolDrained,
+    PoolKey,
+    ResultCame,
+    RoutingAction,
+    RoutingEvent,
+    SessionClosed,
+    Sharing,
+    ShuttingDown,
+    StartPool,
+    StopPool,
+    TableChanged,
+    TableDrained,
+    ToOrigin,
+    ToPeer,
+    ToPeers,
+    ToPool,
+    Woken,
+)
 from berylspool.request.query import (
     Part,
     PartFailed,
@@ -24,7 +51,7 @@
     live_versions,
     serving_upstreams,
 )
-from berylspool.version.placement import owner_of
+from berylspool.version.placement import owners_after, owners_by_service
 from berylspool.version.pool_message import (
     Blame,
     Blamed,
@@ -32,236 +59,15 @@
     Leased,
     PartArrived,
     PartCancelled,
-    PoolEvent,
     Reconfigured,
 )
 
-__all__ = [
-    "BlameHeard",
-    "BlameRaised",
-    "ConfigurationChanged",
-    "LeaseSet",
-    "LinkDown",
-    "LinkUp",
-    "Origin",
-    "PartDropped",
-    "PartWanted",
-    "PoolDrained",
-    "PoolKey",
-    "ResultCame",
-    "Routing",
-    "RoutingAction",
-    "RoutingEvent",
-    "SessionClosed",
-    "Sharing",
-    "ShuttingDown",
-    "StartPool",
-    "StopPool",
-    "TableChanged",
-    "TableDrained",
-    "ToOrigin",
-    "ToPeer",
-    "ToPeers",
-    "ToPool",
-    "Woken",
-    "step",
-]
-
-PoolKey = tuple[str, str]
+__all__ = ["Routing", "owner", "step"]
+
 RETRY_AFTER_S = 0.5
 KEPT_BLAMES = 256
 
 
-class Sharing(enum.StrEnum):
-    """How entries share the limits of an upstream."""
-
-    OWNED = "owned"
-    ALONE = "alone"
-
-
-@dataclass(frozen=True, slots=True)
-class Origin:
-    """Who asked for a part: a request here, or a peer's session.
-
-    Attributes:
-        id: Request id or session number, as text.
-        is_session: Whether it is a peer's session.
-    """
-
-    id: str
-    is_session: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class PartWanted:
-    """A request or a peer asks for a part."""
-
-    origin: Origin
-    part: Part
-
-
-@dataclass(frozen=True, slots=True)
-class PartDropped:
-    """A part is no longer wanted."""
-
-    part_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class ResultCame:
-    """A pool or a peer has the result of a part."""
-
-    result: PartResult
-
-
-@dataclass(frozen=True, slots=True)
-class LinkUp:
-    """The link to a peer has opened."""
-
-    member: str
-
-
-@dataclass(frozen=True, slots=True)
-class LinkDown:
-    """The link to a peer is lost."""
-
-    member: str
-
-
-@dataclass(frozen=True, slots=True)
-class SessionClosed:
-    """A peer that asked for parts is gone."""
-
-    session_id: str
-
-
-@dataclass(frozen=True, slots=True)
-class TableChanged:
-    """Control has proposed or activated a table of members."""
-
-    table: MemberTable
-
-
-@dataclass(frozen=True, slots=True)
-class ConfigurationChanged:
-    """A newer configuration is in force."""
-
-    configuration: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class LeaseSet:
-    """The lease runs until a moment, in monotonic seconds."""
-
-    until: float
-
-
-@dataclass(frozen=True, slots=True)
-class PoolDrained:
-    """A closing pool has nothing left."""
-
-    key: PoolKey
-
-
-@dataclass(frozen=True, slots=True)
-class BlameRaised:
-    """A pool of this entry blames a request."""
-
-    blame: Blame
-
-
-@dataclass(frozen=True, slots=True)
-class BlameHeard:
-    """A peer blames a request."""
-
-    blame: Blame
-
-
-@dataclass(frozen=True, slots=True)
-class ShuttingDown:
-    """The process takes no new parts."""
-
-
-@dataclass(frozen=True, slots=True)
-class Woken:
-    """Time has passed."""
-
-
-RoutingEvent = (
-    PartWanted
-    | PartDropped
-    | ResultCame
-    | LinkUp
-    | LinkDown
-    | SessionClosed
-    | TableChanged
-    | ConfigurationChanged
-    | LeaseSet
-    | PoolDrained
-    | BlameRaised
-    | BlameHeard
-    | ShuttingDown
-    | Woken
-)
-
-
-@dataclass(frozen=True, slots=True)
-class ToPool:
-    """Hand an event to a pool of this entry."""
-
-    key: PoolKey
-    event: PoolEvent
-
-
-@dataclass(frozen=True, slots=True)
-class ToPeer:
-    """Send a message to a member."""
-
-    member: str
-    message: AskPart | DropPart | Blame
-
-
-@dataclass(frozen=True, slots=True)
-class ToPeers:
-    """Send a message to all other members."""
-
-    message: Blame
-
-
-@dataclass(frozen=True, slots=True)
-class ToOrigin:
-    """Hand a result to who asked for the part."""
-
-    origin: Origin
-    result: PartResult
-
-
-@dataclass(frozen=True, slots=True)
-class StartPool:
-    """Start a pool."""
-
-    key: PoolKey
-
-
-@dataclass(frozen=True, slots=True)
-class StopPool:
-    """Stop a pool that has drained."""
-
-    key: PoolKey
-
-
-@dataclass(frozen=True, slots=True)
-class TableDrained:
-    """Tell control that no part of a moved service is left here."""
-
-    epoch: int
-
-
-RoutingAction = (
-    ToPool | ToPeer | ToPeers | ToOrigin | StartPool | StopPool | TableDrained
-)
-
-
 @dataclass(slots=True)
 class Pending:
     """A part whose result is awaited."""
@@ -282,6 +88,8 @@
         configuration: Configuration in force.
         active: Table whose owners admit.
         proposed: Newer table that is not active yet.
+        active_owners: Owner by service under the active table.
+        proposed_owners: Owner by service under the proposed table.
         lease_until: No new work is taken from this moment on, monotonic
             seconds.
         is_shutting_down: Whether the process takes no new parts.
@@ -299,6 +107,8 @@
     configuration: Configuration = field(default_factory=Configuration)
     active: MemberTable = field(default_factory=MemberTable)
     proposed: MemberTable | None = None
+    active_owners: dict[str, str] = field(default_factory=dict)
+    proposed_owners: dict[str, str] = field(default_factory=dict)
     lease_until: float = 0.0
     is_shutting_down: bool = False
     pending_by_part: dict[str, Pending] = field(default_factory=dict)
@@ -372,13 +182,39 @@
     """
     if routing.sharing is Sharing.ALONE:
         return routing.name
-    current = owner_of(service, routing.active.member_by_name)
+    current = routing.active_owners.get(service)
     if routing.proposed is None:
         return current
-    following = owner_of(service, routing.proposed.member_by_name)
+    following = routing.proposed_owners.get(service)
     return current if current == following else None
 
 
+def _place_services(routing: Routing) -> None:
+    """Work out all owners anew, as services have come or gone."""
+    services = routing.configuration.service_by_name
+    routing.active_owners = owners_by_service(
+        services, routing.active.member_by_name
+    )
+    routing.proposed_owners = {}
+    if routing.proposed is not None:
+        routing.proposed_owners = owners_by_service(
+            services, routing.proposed.member_by_name
+        )
+
+
+def _owners_of_table(routing: Routing, table: MemberTable) -> dict[str, str]:
+    """Return the owners of a newer table, from those that are known."""
+    known = routing.proposed or routing.active
+    owners = routing.proposed_owners or routing.active_owners
+    members = table.member_by_name
+    if known.member_by_name == members:
+        return owners
+    if not known.member_by_name:
+        services = routing.configuration.service_by_name
+        return owners_by_service(services, members)
+    return owners_after(owners, known.member_by_name, members)
+
+
 def _want(
     routing: Routing, origin: Origin, part: Part, now: float
 ) -> list[RoutingAction]:
@@ -543,8 +379,11 @@
     if table.epoch < newest:
         return []
     if table.is_active:
+        routing.active_owners = _owners_of_table(routing, table)
         routing.active, routing.proposed = table, None
+        routing.proposed_owners = {}
         return _warm(routing) + _close_moved(routing) + _release(routing, now)
+    routing.proposed_owners = _owners_of_table(routing, table)
     routing.proposed = table
     return _close_moved(routing)
 
@@ -587,7 +426,10 @@
 ) -> list[RoutingAction]:
     if configuration.revision < routing.configuration.revision:
         return []
+    former = routing.configuration.service_by_name.keys()
     routing.configuration = configuration
+    if configuration.service_by_name.keys() != former:
+        _place_services(routing)
     actions: list[RoutingAction] = [
         ToPool(key, _reconfigured(routing, key))
         for key in sorted(routing.pool_keys)
--- a/berylspool/process/settings.py
+++ b/berylspool/process/settings.py
@@ -51,7 +51,6 @@
     queue_limit: int = Field(256, ge=1)
     silent_s: float = Field(1.0, gt=0)
     wait_share: float = Field(0.7, gt=0, le=1)
-    throttle: bool = True
 
 
 class EntrySettings(StrictModel):
--- a/berylspool/process/tests/test_consensus.py
+++ b/berylspool/process/tests/test_consensus.py
@@ -4,11 +4,13 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
-from berylspool.process import consensus
+from berylspool.process import consensus, election, replication
+from berylspool.process import node as node_module
 from berylspool.process.consensus import Node, Role, Timing, step
 from berylspool.process.consensus_message import (
     AppendRecords,
     AppendReply,
+    AppendToLog,
     Group,
     PreVote,
     PreVoteReply,
@@ -25,6 +27,7 @@
     Vote,
     VoteReply,
 )
+from berylspool.process.node import term_at
 from berylspool.process.tests.consensus_machine import (
     NAMES,
     ConsensusMachine,
@@ -185,6 +188,16 @@
     assert is_caught(VotesFromForgottenPromises)
 
 
+MODULES = (consensus, election, node_module, replication)
+
+
+def plant(monkeypatch, name, replacement):
+    """Replace a function wherever it is used."""
+    for module in MODULES:
+        if hasattr(module, name):
+            monkeypatch.setattr(module, name, replacement)
+
+
 def _plant(name, replacement):
     return pytest.param(name, replacement, id=name)
 
@@ -194,7 +207,7 @@
 
 
 def commit_without_quorum(node):
-    return consensus._commit_to(node, consensus.last_index(node))
+    return replication.commit_to(node, consensus.last_index(node))
 
 
 def quorum_is_half(node, ids):
@@ -212,9 +225,9 @@
     )
     needed = len(node.group.voters) // 2 + 1
     index = matches[-needed]
-    if consensus._term_at(node, index) != node.term:
+    if term_at(node, index) != node.term:
         return []
-    return consensus._commit_to(node, index)
+    return replication.commit_to(node, index)
 
 
 def forget_the_vote(node, sender, message, now):
@@ -227,7 +240,7 @@
         return []
     del node.log[max(0, records[0].index - node.snapshot.index - 1) :]
     node.log.extend(records)
-    return [consensus.AppendToLog(tuple(records))]
+    return [AppendToLog(tuple(records))]
 
 
 def term_always_matches(node, index):
@@ -248,20 +261,20 @@
 
 
 ANY_TERM = AnyTerm(0)
-REAL_TERM_AT = consensus._term_at
-REAL_ON_VOTE = consensus._on_vote
+REAL_TERM_AT = term_at
+REAL_ON_VOTE = election.on_vote
 
 
 @pytest.mark.parametrize(
     ("name", "replacement"),
     [
-        _plant("_on_vote", forget_the_vote),
-        _plant("_advance_commit", commit_without_quorum),
-        _plant("_is_quorum", quorum_is_half),
+        _plant("on_vote", forget_the_vote),
+        _plant("advance_commit", commit_without_quorum),
+        _plant("is_quorum", quorum_is_half),
     ],
 )
 def test_fuzzing_catches_planted_fault(name, replacement, monkeypatch):
-    monkeypatch.setattr(consensus, name, replacement)
+    plant(monkeypatch, name, replacement)
     assert is_caught(ConsensusMachine)
 
 
@@ -269,13 +282,13 @@
     ("name", "replacement", "case"),
     [
         pytest.param(
-            "_advance_commit",
+            "advance_commit",
             commit_with_learners,
             test_acknowledgement_of_a_learner_does_not_commit,
             id="learner_counted_early",
         ),
         pytest.param(
-            "_is_current",
+            "is_current",
             vote_for_anyone,
             test_a_vote_needs_a_log_that_is_at_least_as_new,
             id="vote_for_shorter_log",
@@ -287,7 +300,7 @@
             id="blind_merge",
         ),
         pytest.param(
-            "_term_at",
+            "term_at",
             term_always_matches,
             test_records_after_a_record_of_another_term_are_refused,
             id="term_not_checked",
@@ -297,6 +310,6 @@
 def test_focused_case_catches_planted_fault(
     name, replacement, case, monkeypatch
 ):
-    monkeypatch.setattr(consensus, name, replacement)
+    plant(monkeypatch, name, replacement)
     with pytest.raises(AssertionError):
         case()
--- a/berylspool/process/tests/test_ownership.py
+++ b/berylspool/process/tests/test_ownership.py
@@ -7,10 +7,11 @@
 from berylspool.connection.message import Member, MemberTable
 from berylspool.process import membership, routing
 from berylspool.process.membership import Heard, Led, Membership, Seated
-from berylspool.process.routing import (
+from berylspool.process.routing import Routing
+from berylspool.process.routing_message import (
+    ConfigurationChanged,
     LeaseSet,
     PoolDrained,
-    Routing,
     TableChanged,
     TableDrained,
 )
@@ -39,7 +40,7 @@
         self.routing = Routing(name)
         self.drained_epoch = 0
         self.is_leaving = False
-        self.step(routing.ConfigurationChanged(CONFIGURATION), 0.0)
+        self.step(ConfigurationChanged(CONFIGURATION), 0.0)
 
     def step(self, event, now):
         for action in routing.step(self.routing, event, now):
@@ -241,7 +242,7 @@
 
 
 def ignores_the_proposal(state, service):
-    return routing.owner_of(service, state.active.member_by_name)
+    return state.active_owners.get(service)
 
 
 @pytest.mark.parametrize(
--- a/berylspool/process/tests/test_routing.py
+++ b/berylspool/process/tests/test_routing.py
@@ -1,7 +1,8 @@
 """Routing of parts to owners: holds, losses and leases."""
 
 from berylspool.connection.message import AskPart, Member, MemberTable
-from berylspool.process.routing import (
+from berylspool.process.routing import Routing, owner, step
+from berylspool.process.routing_message import (
     BlameRaised,
     ConfigurationChanged,
     LeaseSet,
@@ -10,7 +11,6 @@
     Origin,
     PartWanted,
     ResultCame,
-    Routing,
     SessionClosed,
     TableChanged,
     ToOrigin,
@@ -18,8 +18,6 @@
     ToPeers,
     ToPool,
     Woken,
-    owner,
-    step,
 )
 from berylspool.process.tests.test_ownership import CONFIGURATION, SERVICES
 from berylspool.request.query import (
--- a/berylspool/request/serve.py
+++ b/berylspool/request/serve.py
@@ -5,7 +5,11 @@
 
 from berylspool.connection.mailbox import Mailbox
 from berylspool.process.router import Router, Subscribe, Unsubscribe
-from berylspool.process.routing import Origin, PartDropped, PartWanted
+from berylspool.process.routing_message import (
+    Origin,
+    PartDropped,
+    PartWanted,
+)
 from berylspool.request.fanout import (
     CallerGone,
     CancelPart,
--- a/berylspool/tests/test_whole_path.py
+++ b/berylspool/tests/test_whole_path.py
@@ -187,9 +187,20 @@
             assert len(after) >= 60
             assert all(r["upstream"].endswith("-a") for r in after)
             status, answer = await running.command("zone b in", wait=True)
-            for number in range(20):
-                await running.query(f"entry-{number % 2}")
-            assert any(r["upstream"].endswith("-b") for r in running.runs())
+            mark = len(running.records)
+
+            def has_come_back():
+                return any(
+                    r["upstream"].endswith("-b")
+                    for r in running.records[mark:]
+                    if r["event"] == "run"
+                )
+
+            async with asyncio.timeout(20):
+                while not has_come_back():
+                    await asyncio.gather(
+                        *(running.query(f"entry-{n % 2}") for n in range(20))
+                    )
 
     run(body())
 
--- a/berylspool/version/admission.py
+++ b/berylspool/version/admission.py
@@ -17,6 +17,7 @@
 from berylspool.version.pool_message import (
     AttemptAnswered,
     Blamed,
+    Changed,
     Chosen,
     Closing,
     ConnectionClosed,
@@ -73,6 +74,7 @@
 __all__ = ["next_wake", "step"]
 
 SCAN_LIMIT = 16
+CONNECTION_EVENTS = (ConnectionClosed, HealthReported, Reconfigured, Woken)
 
 
 def step(pool: Pool, event: PoolEvent, now: float) -> list[PoolAction]:
@@ -113,7 +115,8 @@
             actions = drop_unused(pool)
     actions += _run_timers(pool, now)
     actions += _dispatch(pool, now)
-    actions += open_connections(pool, now)
+    if isinstance(event, CONNECTION_EVENTS):
+        actions += open_connections(pool, now)
     return actions
 
 
@@ -343,8 +346,10 @@
         return []
     if on_instance(view.ramp, event.instance):
         view.is_draining = False
-    view.is_draining = view.is_draining or event.is_draining
     view.reported_load = event.load
+    if event.is_draining and not view.is_draining:
+        view.is_draining = True
+        return [Changed(view.upstream.id, "draining")]
     return []
 
 
--- a/berylspool/version/placement.py
+++ b/berylspool/version/placement.py
@@ -6,11 +6,11 @@
 increase hit rates", IEEE/ACM Transactions on Networking 6(1), 1998.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from berylspool.request.fingerprint import ticket
 
-__all__ = ["owner_of", "owners_by_service"]
+__all__ = ["owner_of", "owners_after", "owners_by_service"]
 
 
 def owner_of(service: str, members: Iterable[str]) -> str | None:
@@ -44,5 +44,43 @@
     return {s: owner for s in services if (owner := owner_of(s, names))}
 
 
+def owners_after(
+    former: Mapping[str, str],
+    before: Collection[str],
+    after: Collection[str],
+) -> dict[str, str]:
+    """Return the owners after a change of members.
+
+    Only weights of members that joined, and services of members that left,
+    are looked at, so a change costs one hash for each service instead of one
+    for each service and member.
+
+    Args:
+        former: Owner by service, for the members before.
+        before: Members before.
+        after: Members after.
+
+    Returns:
+        Owner by service, as `owners_by_service` gives it.
+
+    Examples:
+        >>> services = ["a", "b", "c"]
+        >>> former = owners_by_service(services, ["e1", "e2"])
+        >>> owners_after(former, ["e1", "e2"], ["e2", "e3"]) == (
+        ...     owners_by_service(services, ["e2", "e3"])
+        ... )
+        True
+    """
+    joined = set(after) - set(before)
+    left = set(before) - set(after)
+    owners: dict[str, str] = {}
+    for service, owner in former.items():
+        candidates = after if owner in left else {owner, *joined}
+        found = owner_of(service, candidates)
+        if found is not None:
+            owners[service] = found
+    return owners
+
+
 def _weight(service: str, member: str) -> tuple[int, str]:
     return ticket(f"{len(service)}:{service}{member}"), member
--- a/berylspool/version/pool.py
+++ b/berylspool/version/pool.py
@@ -16,6 +16,7 @@
     PartChosen,
     RequestBlamed,
     SilentReplaced,
+    UpstreamChanged,
 )
 from berylspool.request.query import PartResult
 from berylspool.version.admission import next_wake, step
@@ -23,6 +24,7 @@
 from berylspool.version.pool_message import (
     Blame,
     CancelAttempt,
+    Changed,
     Chosen,
     Connect,
     Disconnect,
@@ -130,6 +132,8 @@
                         action.fingerprint, action.upstream_id, action.verdict
                     )
                 )
+            case Changed(upstream_id=upstream_id, change=change):
+                self._log(UpstreamChanged(upstream_id, change))
             case Observed():
                 self._observed(action)
 
--- a/berylspool/version/pool_message.py
+++ b/berylspool/version/pool_message.py
@@ -13,6 +13,7 @@
     "Blame",
     "Blamed",
     "CancelAttempt",
+    "Changed",
     "Chosen",
     "Closing",
     "Connect",
@@ -243,6 +244,14 @@
     age_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Log that an upstream's state changed."""
+
+    upstream_id: str
+    change: str
+
+
 @dataclass(frozen=True, slots=True)
 class Observed:
     """Count an upstream's reply for the judgement of its version."""
@@ -262,5 +271,6 @@
     | Blame
     | Chosen
     | Silent
+    | Changed
     | Observed
 )
--- a/berylspool/version/upkeep.py
+++ b/berylspool/version/upkeep.py
@@ -3,6 +3,7 @@
 from berylspool.version.attempt import on_attempt_lost
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool_message import (
+    Changed,
     Connect,
     ConnectionClosed,
     ConnectionOpened,
@@ -39,12 +40,15 @@
     connection = view.connection_by_id.get(event.connection_id)
     if connection is None:
         return [Disconnect(event.connection_id)]
+    actions: list[PoolAction] = []
     if on_instance(view.ramp, event.instance):
         view.is_draining = False
+        change = f"instance {event.instance} is cold"
+        actions.append(Changed(view.upstream.id, change))
     if connection.state is ConnectionState.OPENING:
         connection.state = ConnectionState.IDLE
     view.reopen_delay_s = 0.0
-    return []
+    return actions
 
 
 def on_closed(
@@ -61,6 +65,8 @@
         view.in_flight -= 1
     actions = on_attempt_lost(pool, connection.attempt_id, view, now)
     if connection.state is not ConnectionState.RETIRED:
+        if not view.ramp.is_doubted:
+            actions.append(Changed(view.upstream.id, "connection lost"))
         doubt(view.ramp)
         view.reopen_delay_s = min(
             max(view.reopen_delay_s * 2, FIRST_REOPEN_DELAY_S),
