--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry.py
@@ -56,6 +56,7 @@
 VERSION = "0.1.0"
 DRAIN_CHECK_S = 0.02
 READINESS_CHECK_S = 0.1
+RETRY_AFTER_S = 1.0
 
 
 def tuning_of(settings: RoutingSettings, zone: str) -> Tuning:
@@ -139,6 +140,8 @@
         """
         number = ticket(query.id)
         configuration = self.configuration.value
+        if configuration.revision == 0:
+            return Refusal(query.id, Reason.NO_CONTROL, True, RETRY_AFTER_S)
         try:
             pinned = pin(configuration, query.route, number, self.book.blocked)
         except UnknownRouteError:
--- a/berylspool/tests/test_whole_path.py
+++ b/berylspool/tests/test_whole_path.py
@@ -265,6 +265,20 @@
     run(body())
 
 
+def test_entry_without_a_configuration_refuses_in_truth(tmp_path):
+    async def body():
+        async with cluster(tmp_path, entries=1, controls=3) as running:
+            for name in list(running.control_by_name):
+                await running.kill_control(name)
+            await running.kill_entry("entry-0")
+            await running.start_entry("entry-0")
+            status, answer = await running.query("entry-0")
+            assert (status, answer["error"]) == (503, "no_control")
+            assert answer["outcome"] == "not_run"
+
+    run(body())
+
+
 def test_tokens_bound_what_an_operator_may_do(tmp_path):
     async def body():
         tokens = {"read": "r-token", "change": "c-token"}
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -153,34 +153,51 @@
     move_by_route: dict[str, Move] = field(default_factory=dict)
 
 
-def check(configuration: Configuration) -> None:
+def check(
+    configuration: Configuration, former: Configuration | None = None
+) -> None:
     """Check that all names in a configuration resolve.
 
+    Nothing in the language removes a zone or a service, so what is the same
+    as in a configuration that was checked before need not be checked again.
+
     Args:
         configuration: Configuration to check.
+        former: Configuration that it was made from, if that was checked.
 
     Raises:
         ConfigurationError: A name is not defined, or a stable version is
             missing.
     """
-    for service in configuration.service_by_name.values():
-        named = set(service.zones)
-        named.update(u.zone for u in service.upstream_by_id.values())
-        for zone in sorted(named - configuration.zone_by_name.keys()):
-            raise ConfigurationError(
-                f"service {service.name!r}: zone {zone!r} is not defined"
-            )
-    for route in configuration.route_by_name.values():
-        if route.stable not in route.version_by_name:
-            raise ConfigurationError(
-                f"route {route.name!r}: version {route.stable!r} is not defined"
-            )
-        for version in route.version_by_name.values():
-            for name in version.services:
-                if name not in configuration.service_by_name:
-                    raise ConfigurationError(
-                        f"route {route.name!r}: service {name!r} is not defined"
-                    )
+    known = former or Configuration()
+    for name, service in configuration.service_by_name.items():
+        if known.service_by_name.get(name) is not service:
+            _check_service(configuration, service)
+    for name, route in configuration.route_by_name.items():
+        if known.route_by_name.get(name) is not route:
+            _check_route(configuration, route)
+
+
+def _check_service(configuration: Configuration, service: Service) -> None:
+    named = set(service.zones)
+    named.update(u.zone for u in service.upstream_by_id.values())
+    for zone in sorted(named - configuration.zone_by_name.keys()):
+        raise ConfigurationError(
+            f"service {service.name!r}: zone {zone!r} is not defined"
+        )
+
+
+def _check_route(configuration: Configuration, route: Route) -> None:
+    if route.stable not in route.version_by_name:
+        raise ConfigurationError(
+            f"route {route.name!r}: version {route.stable!r} is not defined"
+        )
+    for version in route.version_by_name.values():
+        for name in version.services:
+            if name not in configuration.service_by_name:
+                raise ConfigurationError(
+                    f"route {route.name!r}: service {name!r} is not defined"
+                )
 
 
 def pin(
--- a/berylspool/version/move.py
+++ b/berylspool/version/move.py
@@ -25,7 +25,7 @@
     "traffic_share",
 ]
 
-CANARY_SHARE = 0.02
+CANARY_SHARE = 0.05
 RAMP_SHARES = (0.1, 0.25, 0.5, 1.0)
 CANARY_FRACTION = 0.4
 DRAIN_S = 5.0
@@ -144,7 +144,7 @@
         >>> traffic_share(Move("r", "v1", "v2", 0.0, 60.0))
         0.0
         >>> traffic_share(Move("r", "v1", "v2", 0, 60, MoveState.CANARY))
-        0.02
+        0.05
     """
     state = move.resume if move.state is MoveState.PAUSED else move.state
     match state:
--- a/berylspool/version/operation.py
+++ b/berylspool/version/operation.py
@@ -258,7 +258,8 @@
     changed = configuration
     for operation in operations:
         changed = _apply(changed, operation, at)
-    check(changed)
+    is_replaced = any(isinstance(o, ReplaceAll) for o in operations)
+    check(changed, None if is_replaced else configuration)
     return replace(changed, revision=configuration.revision + 1)
 
 
