--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,134 @@
+"""Processor time of an entry for each upstream request, against a bare loop.
+
+Usage: python -m bench.entry [--rate 60] [--seconds 10]
+
+The bare loop does the same fan-out over kept-alive connections of the same
+codec without any decision.  The entry runs alone, so it owns every service;
+its figure holds the callers' side too.  Variants: event loop, log lines.
+"""
+
+import argparse
+import asyncio
+import itertools
+import json
+import time
+
+import uvloop
+
+from bench.deployment import Deployment, deployment
+from berylspool.connection import wire
+from berylspool.connection.http import HttpStream, connect
+from berylspool.process.load import LoadPlan, run_load
+from berylspool.process.settings import split_address
+from berylspool.request.query import Part, Snapshot
+
+ROUTE = "pitch-lookup"
+WARM_UP_S = 6.0
+VARIANTS = {
+    "entry, uvloop, no decision lines": ("uvloop", False),
+    "entry, uvloop, decision lines": ("uvloop", True),
+    "entry, asyncio, no decision lines": ("asyncio", False),
+}
+
+
+async def bare(running: Deployment, rate: float, seconds: float) -> float:
+    """Return the processor time of the bare loop for each part."""
+    route = running.settings["initial"]["routes"][ROUTE]
+    services = route["versions"]["v1"]["services"]
+    idle: list[asyncio.Queue[HttpStream]] = []
+    for name in services:
+        queue: asyncio.Queue[HttpStream] = asyncio.Queue()
+        service = running.settings["initial"]["services"][name]
+        for upstream in service["upstreams"].values():
+            if upstream["version"] != "v1":
+                continue
+            for _ in range(3):
+                address = split_address(upstream["address"])
+                queue.put_nowait(await connect(*address, 1.0))
+        idle.append(queue)
+    serial = itertools.count()
+
+    async def part(shard: int) -> None:
+        stream = await idle[shard].get()
+        number = next(serial)
+        sent = Part(
+            f"b{number}",
+            f"b{number}",
+            services[shard],
+            shard,
+            Snapshot("v1", 1),
+            '{"q": 1}',
+            1.0,
+            "f",
+            True,
+            ROUTE,
+        )
+        headers, body = wire.encode_part(sent, number, 1.0)
+        reply = await stream.send("POST", wire.PART_PATH, headers, body)
+        wire.decode_reply(sent, number, reply.status, reply.headers, reply.body)
+        idle[shard].put_nowait(stream)
+
+    count = int(rate * seconds)
+    tasks = []
+    before = time.process_time()
+    for _ in range(count):
+        shards = range(len(services))
+        tasks.append(asyncio.gather(*(part(shard) for shard in shards)))
+        await asyncio.sleep(1 / rate)
+    await asyncio.gather(*tasks)
+    used_s = time.process_time() - before
+    return used_s / (count * len(services))
+
+
+def entry(running: Deployment, rate: float, seconds: float) -> dict:
+    """Return the processor time of the entry for each part, and idle."""
+    [name] = running.settings["entries"]
+    target = split_address(running.settings["entries"][name]["address"])
+    route = running.settings["initial"]["routes"][ROUTE]
+    shards = len(route["versions"]["v1"]["services"])
+    asyncio.run(run_load(LoadPlan((target,), ROUTE, rate / 2, WARM_UP_S)))
+    before = running.cpu_s(name)
+    time.sleep(5.0)
+    idle = (running.cpu_s(name) - before) / 5.0
+    before = running.cpu_s(name)
+    plan = LoadPlan((target,), ROUTE, rate, seconds)
+    started = time.monotonic()
+    result = asyncio.run(run_load(plan))
+    took_s = time.monotonic() - started
+    used_s = running.cpu_s(name) - before - idle * took_s
+    parts = result.attempts or 1
+    assert result.outcome["whole"] == int(rate * seconds), result.outcome
+    return {
+        "us_a_part": round(used_s / parts * 1e6),
+        "idle_core_percent": round(idle * 100, 1),
+        "shards": shards,
+    }
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--rate", type=float, default=60.0)
+    parser.add_argument("--seconds", type=float, default=10.0)
+    args = parser.parse_args()
+    for label, (loop, decisions) in VARIANTS.items():
+        changes = {
+            "event_loop": loop,
+            "log": {"path": "log.jsonl", "decisions": decisions},
+            "standin": {"straggler_share": 0.0},
+        }
+        with deployment(
+            "demo", changes, entries=1, with_control=False
+        ) as running:
+            figures = entry(running, args.rate, args.seconds)
+            factory = uvloop.new_event_loop if loop == "uvloop" else None
+            with asyncio.Runner(loop_factory=factory) as runner:
+                bare_s = runner.run(bare(running, args.rate, args.seconds))
+        figures["bare_us_a_part"] = round(bare_s * 1e6)
+        figures["bare_over_entry"] = round(
+            figures["bare_us_a_part"] / figures["us_a_part"], 2
+        )
+        print(f"{label:36} {json.dumps(figures)}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/berylspool/connection/admin.py
+++ b/berylspool/connection/admin.py
@@ -11,6 +11,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from berylspool.connection.listen import listen
 from berylspool.connection.mailbox import Mailbox
 from berylspool.exception import (
     BerylspoolError,
@@ -296,9 +297,9 @@
         )
         self._server = HTTPServer(application, max_body_size=MAX_BODY_BYTES)
 
-    def listen(self, host: str, port: int) -> None:
+    def listen(self, address: str) -> None:
         """Start to accept operators."""
-        self._server.listen(port, host)
+        listen(self._server, address)
 
     async def close(self) -> None:
         """Stop accepting and close all connections."""
--- a/berylspool/connection/caller.py
+++ b/berylspool/connection/caller.py
@@ -10,6 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from berylspool.connection.listen import listen
 from berylspool.process.current import Current
 from berylspool.process.event import Event, RequestRefused
 from berylspool.process.metric import (
@@ -291,9 +292,9 @@
             idle_connection_timeout=IDLE_TIMEOUT_S,
         )
 
-    def listen(self, host: str, port: int) -> None:
+    def listen(self, address: str) -> None:
         """Start to accept callers."""
-        self._server.listen(port, host)
+        listen(self._server, address)
 
     def stop_listening(self) -> None:
         """Accept no new connection; those that are open go on."""
--- a/berylspool/connection/upstream.py
+++ b/berylspool/connection/upstream.py
@@ -1,7 +1,6 @@
 """Tasks that own one connection to an upstream each."""
 
 import asyncio
-from collections.abc import Mapping
 from dataclasses import dataclass
 
 import orjson
@@ -118,7 +117,6 @@
                 self._id,
                 message.attempt_id,
                 _instance(reply),
-                _load(reply.headers),
                 decoded,
             )
         )
@@ -185,7 +183,6 @@
                 self._upstream.id,
                 _instance(reply),
                 state == "draining",
-                _load(reply.headers),
             )
         )
 
@@ -203,10 +200,3 @@
     if not instance:
         raise ProtocolError("no instance id")
     return instance
-
-
-def _load(headers: Mapping[str, str]) -> float:
-    try:
-        return float(headers.get(wire.LOAD, "0"))
-    except ValueError:
-        return 0.0
--- a/berylspool/exception.py
+++ b/berylspool/exception.py
@@ -13,6 +13,7 @@
     "CorruptLogError",
     "FrameError",
     "FrameTooLargeError",
+    "ListenError",
     "NoLeaderError",
     "PermissionDeniedError",
     "ProtocolError",
@@ -88,5 +89,9 @@
     """The token's role does not allow the command."""
 
 
+class ListenError(BerylspoolError):
+    """An address cannot be listened on."""
+
+
 class NoLeaderError(BerylspoolError):
     """No control leader could be reached in time."""
--- a/berylspool/process/change.py
+++ b/berylspool/process/change.py
@@ -14,7 +14,10 @@
     CommandConflictError,
 )
 from berylspool.version.configuration import Configuration
-from berylspool.version.operation import apply_all, operation_codec
+from berylspool.version.operation import (
+    operation_codec,
+)
+from berylspool.version.revision import apply_all
 
 __all__ = [
     "Change",
--- a/berylspool/process/control.py
+++ b/berylspool/process/control.py
@@ -6,7 +6,6 @@
 import signal
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -19,21 +18,18 @@
 from berylspool.connection.control_message import (
     Addressed,
     Announce,
-    ConfigurationSent,
     DeltaSent,
     FoundingQuery,
     FoundingReply,
     Grant,
     Heartbeat,
     NotLeader,
-    TableDelta,
-    TableSent,
     consensus_codec,
     control_codec,
 )
 from berylspool.connection.frame import HEADER_BYTES
+from berylspool.connection.listen import listen
 from berylspool.connection.mailbox import Mailbox
-from berylspool.connection.message import MemberTable
 from berylspool.connection.peer import Link, LinkServer, Session
 from berylspool.exception import (
     ProtocolError,
@@ -60,6 +56,13 @@
     Ticked,
 )
 from berylspool.process.desk import Desk, initial_change, move_change
+from berylspool.process.distribution import (
+    Distribution,
+    configuration_since,
+    keep_delta,
+    keep_table,
+    table_since,
+)
 from berylspool.process.event import (
     LeaderChanged,
     LinkChanged,
@@ -71,6 +74,13 @@
 )
 from berylspool.process.log import LogTask
 from berylspool.process.metric import Metrics, set_gauge
+from berylspool.process.owed import (
+    FromLink,
+    FromSession,
+    Owed,
+    Pause,
+    Waiting,
+)
 from berylspool.process.repair import name_of, next_group
 from berylspool.process.replica import Applied, Installed, Replica, Result
 from berylspool.process.settings import Settings, split_address
@@ -81,60 +91,11 @@
 
 VERSION = "0.1.0"
 TICK_S = 0.05
-KEPT_DELTAS = 500
-KEPT_TABLES = 50
 WAIT_TIMEOUT_S = 30.0
 CHANGES_PER_RECORD = 512
 NO_TAG = 0
 
 
-@dataclass(frozen=True, slots=True)
-class FromSession:
-    """A message on a link that somebody else opened."""
-
-    session: Session
-    message: Any
-
-
-@dataclass(frozen=True, slots=True)
-class FromLink:
-    """A message on a link that this node opened."""
-
-    message: Any
-
-
-@dataclass(frozen=True, slots=True)
-class Waiting:
-    """A change, and who waits for its answer."""
-
-    change: Change
-    reply: Callable[[Any], None] = lambda answer: None
-
-
-@dataclass(frozen=True, slots=True)
-class Pause:
-    """An operator who waits until a revision is in force everywhere."""
-
-    ask: Ask
-    answer: CommandAnswer
-    until: float
-
-
-@dataclass(slots=True)
-class Owed:
-    """Answers that this node owes.
-
-    Attributes:
-        batch: Changes of the next record.
-        by_index: Changes of records that are not committed yet.
-        pauses: Operators who wait.
-    """
-
-    batch: list[Waiting] = field(default_factory=list)
-    by_index: dict[int, list[Waiting]] = field(default_factory=dict)
-    pauses: list[Pause] = field(default_factory=list)
-
-
 class Control:
     """Task that owns a replica and the links of one control process.
 
@@ -175,8 +136,7 @@
         self._metrics = Metrics()
         self._random = random.Random(secrets.randbits(64))
         self._owed = Owed()
-        self._deltas: list[DeltaSent] = []
-        self._tables: dict[int, MemberTable] = {}
+        self._distribution = Distribution()
         self._messages = consensus_codec()
         self._link_by_name: dict[str, Link] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -223,10 +183,8 @@
             raise failure
 
     def _start(self) -> None:
-        host, port = split_address(self._own.address)
-        self._server.listen(port, host)
-        host, port = split_address(self._own.admin_address)
-        self._admin.listen(host, port)
+        listen(self._server, self._own.address)
+        self._admin.listen(self._own.admin_address)
         self._tasks.append(asyncio.ensure_future(self._log.run()))
         for name, control in self.settings.controls.items():
             if name != self.name:
@@ -352,10 +310,15 @@
             return
         state = self.replica.state
         if beat.revision != state.configuration.revision:
-            self._send_configuration(session, beat.revision)
+            for message in configuration_since(
+                self._distribution, beat.revision, state.configuration
+            ):
+                session.inbox.put(message)
         table = state.proposed or state.active
         if beat.table_epoch != table.epoch:
-            self._send_table(session, beat.table_epoch, table)
+            session.inbox.put(
+                table_since(self._distribution, beat.table_epoch, table)
+            )
         session.inbox.put(
             Grant(
                 beat.sent_at,
@@ -365,29 +328,6 @@
             )
         )
 
-    def _send_configuration(self, session: Session, revision: int) -> None:
-        """Send the changes since a revision, or everything."""
-        missing = [d for d in self._deltas if d.base_revision >= revision]
-        if missing and missing[0].base_revision == revision:
-            for delta in missing:
-                session.inbox.put(delta)
-            return
-        configuration = self.replica.state.configuration
-        session.inbox.put(ConfigurationSent(configuration))
-
-    def _send_table(
-        self, session: Session, base_epoch: int, table: MemberTable
-    ) -> None:
-        """Send a table, as a change of the one that an entry has."""
-        base = self._tables.get(base_epoch)
-        if base is None:
-            session.inbox.put(TableSent(table))
-            return
-        joined, left = membership.difference(base, table)
-        session.inbox.put(
-            TableDelta(base_epoch, table.epoch, table.is_active, joined, left)
-        )
-
     def submit(
         self,
         change: Change,
@@ -457,7 +397,7 @@
                 case Applied():
                     self._applied(output)
                 case Installed():
-                    self._deltas.clear()
+                    self._distribution.deltas.clear()
                     self._seated()
 
     def _send(self, peer: str, message: Any) -> None:
@@ -489,9 +429,7 @@
                     self._changed(result, result.change)
                 case Seat(table=table):
                     self._seated()
-                    self._tables[table.epoch] = table
-                    if len(self._tables) > KEPT_TABLES:
-                        del self._tables[min(self._tables)]
+                    keep_table(self._distribution, table)
                     names = ",".join(sorted(table.member_by_name))
                     self._log.put(
                         MembersChanged(table.epoch, names, table.is_active)
@@ -503,8 +441,7 @@
     def _changed(self, result: Result, change: Configure) -> None:
         before, after = result.before, result.after
         delta = DeltaSent(before.revision, change.operations, change.at)
-        self._deltas.append(delta)
-        del self._deltas[:-KEPT_DELTAS]
+        keep_delta(self._distribution, delta)
         if self.replica.has_quorum_contact():
             for session in self._server.session_by_id.values():
                 if session.peer not in self.settings.controls:
--- a/berylspool/process/control_client.py
+++ b/berylspool/process/control_client.py
@@ -34,7 +34,10 @@
 from berylspool.process.membership import changed_table
 from berylspool.process.settings import Settings, split_address
 from berylspool.version.configuration import Configuration
-from berylspool.version.operation import apply_all, operation_codec
+from berylspool.version.operation import (
+    operation_codec,
+)
+from berylspool.version.revision import apply_all
 
 __all__ = ["ControlClient", "Drained", "Leave", "LedgerAsked"]
 
--- a/berylspool/process/desk.py
+++ b/berylspool/process/desk.py
@@ -39,9 +39,9 @@
     Operation,
     ReplaceAll,
     ReplaceMove,
-    apply_all,
     operation_codec,
 )
+from berylspool.version.revision import apply_all
 from berylspool.version.schema import to_configuration
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/berylspool/process/distribution.py
@@ -0,0 +1,82 @@
+"""What a control node sends to an entry that lacks something."""
+
+from dataclasses import dataclass, field
+
+from berylspool.connection.control_message import (
+    ConfigurationSent,
+    DeltaSent,
+    TableDelta,
+    TableSent,
+)
+from berylspool.connection.message import MemberTable
+from berylspool.process.membership import difference
+from berylspool.version.configuration import Configuration
+
+__all__ = [
+    "Distribution",
+    "configuration_since",
+    "keep_delta",
+    "keep_table",
+    "table_since",
+]
+
+KEPT_DELTAS = 500
+KEPT_TABLES = 50
+
+
+@dataclass(slots=True)
+class Distribution:
+    """Newest changes, so that most entries need no whole copy.
+
+    Attributes:
+        deltas: Changes of the configuration, oldest first.
+        table_by_epoch: Tables of members.
+    """
+
+    deltas: list[DeltaSent] = field(default_factory=list)
+    table_by_epoch: dict[int, MemberTable] = field(default_factory=dict)
+
+
+def keep_delta(distribution: Distribution, delta: DeltaSent) -> None:
+    """Keep a change of the configuration."""
+    distribution.deltas.append(delta)
+    del distribution.deltas[:-KEPT_DELTAS]
+
+
+def keep_table(distribution: Distribution, table: MemberTable) -> None:
+    """Keep a table of members."""
+    tables = distribution.table_by_epoch
+    tables[table.epoch] = table
+    if len(tables) > KEPT_TABLES:
+        del tables[min(tables)]
+
+
+def configuration_since(
+    distribution: Distribution, revision: int, newest: Configuration
+) -> list[DeltaSent] | list[ConfigurationSent]:
+    """Return the changes since a revision, or the whole configuration.
+
+    Args:
+        distribution: Changes that are kept.
+        revision: Revision that the entry has.
+        newest: Newest committed configuration.
+    """
+    missing = [
+        delta
+        for delta in distribution.deltas
+        if delta.base_revision >= revision
+    ]
+    if missing and missing[0].base_revision == revision:
+        return missing
+    return [ConfigurationSent(newest)]
+
+
+def table_since(
+    distribution: Distribution, epoch: int, newest: MemberTable
+) -> TableDelta | TableSent:
+    """Return a table as a change of the one an entry has, or whole."""
+    base = distribution.table_by_epoch.get(epoch)
+    if base is None:
+        return TableSent(newest)
+    joined, left = difference(base, newest)
+    return TableDelta(epoch, newest.epoch, newest.is_active, joined, left)
--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from berylspool.connection.caller import CallerServer, EntryState
+from berylspool.connection.listen import listen
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError, UnknownRouteError
 from berylspool.process.control_client import (
@@ -186,14 +187,12 @@
         """Open the listeners and start the tasks."""
         self.spawn(self.log.run())
         self.spawn(self.router.run())
-        host, port = split_address(self.own.peer_address)
-        self.router.server.listen(port, host)
+        listen(self.router.server, self.own.peer_address)
         if self.settings.controls:
             self._start_client()
         else:
             self._start_alone()
-        host, port = split_address(self.own.address)
-        self.callers.listen(host, port)
+        self.callers.listen(self.own.address)
         self.log.put(ProcessStarted("entry", self.name, VERSION))
 
     def _start_client(self) -> None:
--- /dev/null
+++ b/berylspool/process/owed.py
@@ -0,0 +1,58 @@
+"""What the control task owes to others: messages, answers, waits."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from berylspool.connection.admin import Ask
+from berylspool.connection.peer import Session
+from berylspool.process.change import Change, CommandAnswer
+
+__all__ = ["FromLink", "FromSession", "Owed", "Pause", "Waiting"]
+
+
+@dataclass(frozen=True, slots=True)
+class FromSession:
+    """A message on a link that somebody else opened."""
+
+    session: Session
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class FromLink:
+    """A message on a link that this node opened."""
+
+    message: Any
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A change, and who waits for its answer."""
+
+    change: Change
+    reply: Callable[[Any], None] = lambda answer: None
+
+
+@dataclass(frozen=True, slots=True)
+class Pause:
+    """An operator who waits until a revision is in force everywhere."""
+
+    ask: Ask
+    answer: CommandAnswer
+    until: float
+
+
+@dataclass(slots=True)
+class Owed:
+    """Answers that this node owes.
+
+    Attributes:
+        batch: Changes of the next record.
+        by_index: Changes of records that are not committed yet.
+        pauses: Operators who wait.
+    """
+
+    batch: list[Waiting] = field(default_factory=list)
+    by_index: dict[int, list[Waiting]] = field(default_factory=dict)
+    pauses: list[Pause] = field(default_factory=list)
--- a/berylspool/process/tally.py
+++ b/berylspool/process/tally.py
@@ -14,7 +14,7 @@
 from berylspool.version import move as moves
 from berylspool.version.judge import histogram
 from berylspool.version.move import Move
-from berylspool.version.pool_message import Observed, RowsReply
+from berylspool.version.pool_message import Observed, OutrunReply, RowsReply
 
 __all__ = ["TallyBook", "follow", "observe", "take"]
 
@@ -88,15 +88,26 @@
         case RowsReply(snapshot=snapshot) if snapshot == part.snapshot:
             sums.answered += 1
             seen[0] += 1
-            if observed.is_warm:
-                latency_us = int(observed.latency_s * 1e6)
-                sums.latency.record_value(max(1, min(LONGEST_US, latency_us)))
+            _record(sums, observed)
+        case OutrunReply():
+            _record(sums, observed)
         case _:
             sums.failed += 1
             seen[1] += 1
     _guard(book, key, seen)
 
 
+def _record(sums: TallySum, observed: Observed) -> None:
+    """Add an answer time, unless the upstream was cold.
+
+    A copy that was outrun counts with its time so far: versions that are
+    hedged more than others would look faster without it.
+    """
+    if observed.is_warm:
+        latency_us = int(observed.latency_s * 1e6)
+        sums.latency.record_value(max(1, min(LONGEST_US, latency_us)))
+
+
 def _guard(book: TallyBook, key: VersionKey, seen: list[int]) -> None:
     route, version = key
     if book.move_by_route[route].new != version:
--- a/berylspool/tests/test_whole_path.py
+++ b/berylspool/tests/test_whole_path.py
@@ -3,7 +3,10 @@
 import asyncio
 import contextlib
 
-from berylspool.exception import ConnectionLostError
+import pytest
+
+from berylspool.exception import ConnectionLostError, ListenError
+from berylspool.process.entry import Entry
 from berylspool.tests.cluster import cluster, post
 
 
@@ -290,3 +293,15 @@
             )
 
     run(body())
+
+
+def test_address_in_use_is_a_typed_error(tmp_path):
+    async def body():
+        async with cluster(tmp_path, entries=1, controls=0) as running:
+            second = Entry("entry-0", running.settings)
+            with pytest.raises(ListenError):
+                await second.start()
+            for task in second._tasks:
+                task.cancel()
+
+    run(body())
--- a/berylspool/version/admission.py
+++ b/berylspool/version/admission.py
@@ -346,7 +346,6 @@
         return []
     if on_instance(view.ramp, event.instance):
         view.is_draining = False
-    view.reported_load = event.load
     if event.is_draining and not view.is_draining:
         view.is_draining = True
         return [Changed(view.upstream.id, "draining")]
--- a/berylspool/version/attempt.py
+++ b/berylspool/version/attempt.py
@@ -9,6 +9,7 @@
     ErrorReply,
     NotRunReply,
     Observed,
+    OutrunReply,
     PoolAction,
     RowsReply,
     Silent,
@@ -16,6 +17,7 @@
     UpstreamReply,
 )
 from berylspool.version.pool_state import (
+    Attempt,
     Job,
     Pool,
     end_attempt,
@@ -51,10 +53,8 @@
         _learn_late(pool, event, now)
         return []
     view = pool.view_by_upstream.get(attempt.upstream_id)
-    if view is not None:
-        if on_instance(view.ramp, event.instance):
-            view.is_draining = False
-        view.reported_load = event.load
+    if view is not None and on_instance(view.ramp, event.instance):
+        view.is_draining = False
     latency_s = now - attempt.sent_at
     if view is not None:
         _learn(view, event.reply, latency_s, now)
@@ -67,11 +67,13 @@
         case RowsReply(snapshot=snapshot, rows=rows):
             pool.mean_s += LATENCY_GAIN * (latency_s - pool.mean_s)
             observe(pool.delay, latency_s)
-            for other in job.attempt_by_id.values():
-                observe(pool.delay, now - other.sent_at)
+            outrun = [
+                _outrun(pool, job, other, now)
+                for other in job.attempt_by_id.values()
+            ]
             clear(pool.suspicion, job.part.fingerprint)
             result = PartRows(job.part.id, snapshot, rows, job.sends)
-            return [seen, *resolve(pool, job, result)]
+            return [seen, *outrun, *resolve(pool, job, result)]
         case NotRunReply(reason=reason):
             job.tried.discard(attempt.upstream_id)
             return _not_run(pool, job, reason)
@@ -82,6 +84,15 @@
     return []
 
 
+def _outrun(pool: Pool, job: Job, attempt: Attempt, now: float) -> Observed:
+    """Count a copy that lost to another with the time it had taken."""
+    elapsed_s = now - attempt.sent_at
+    observe(pool.delay, elapsed_s)
+    view = pool.view_by_upstream.get(attempt.upstream_id)
+    warm = view is not None and is_warm(view.ramp, view.limits, now)
+    return Observed(job.part, OutrunReply(), elapsed_s, warm)
+
+
 def _learn_late(pool: Pool, event: AttemptAnswered, now: float) -> None:
     """Learn from a reply on a connection that was taken for silent."""
     for view in pool.view_by_upstream.values():
--- a/berylspool/version/language.py
+++ b/berylspool/version/language.py
@@ -27,6 +27,7 @@
     Version,
     ZoneState,
 )
+from berylspool.version.revision import change_limits
 
 __all__ = [
     "AddControl",
@@ -238,7 +239,7 @@
 
     def limits(self, *pairs: tuple[str, float]) -> Limits:
         """Return limits; those that are not named keep their default."""
-        return op.change_limits(Limits(), dict(pairs))
+        return change_limits(Limits(), dict(pairs))
 
     def plan(self, name: Token, partition: Token, services: tuple[str, ...]):
         """Return a `Version`."""
--- a/berylspool/version/pool_message.py
+++ b/berylspool/version/pool_message.py
@@ -25,6 +25,7 @@
     "Leased",
     "NotRunReply",
     "Observed",
+    "OutrunReply",
     "PartArrived",
     "PartCancelled",
     "PoolAction",
@@ -71,6 +72,11 @@
     reason: Reason
 
 
+@dataclass(frozen=True, slots=True)
+class OutrunReply:
+    """No reply yet when another copy answered; the copy is cancelled."""
+
+
 UpstreamReply = RowsReply | NotRunReply | ErrorReply
 
 
@@ -113,7 +119,6 @@
     connection_id: int
     attempt_id: int
     instance: str
-    load: float
     reply: UpstreamReply
 
 
@@ -124,7 +129,6 @@
     upstream_id: str
     instance: str
     is_draining: bool
-    load: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -257,7 +261,7 @@
     """Count an upstream's reply for the judgement of its version."""
 
     part: Part
-    reply: UpstreamReply
+    reply: UpstreamReply | OutrunReply
     latency_s: float
     is_warm: bool
 
--- a/berylspool/version/upstream_view.py
+++ b/berylspool/version/upstream_view.py
@@ -1,7 +1,7 @@
 """What the owner of a service knows of each upstream, and how it chooses.
 
-The choice prefers short expected waits from the owner's own observations;
-reported load is used only to lower an upstream's rank, never to raise it.
+The choice prefers short expected waits, from the owner's own observations
+alone: it knows every attempt in flight, and reported loads lag and mislead.
 """
 
 import enum
@@ -73,7 +73,6 @@
         reopen_delay_s: Delay before the next connection after a loss.
         reserved_for: Part that runs alone on it, if any.
         latency_s: Moving average of answer times in seconds.
-        reported_load: Last load it reported, from 0 to 1.
     """
 
     upstream: Upstream
@@ -87,7 +86,6 @@
     reopen_delay_s: float = 0.0
     reserved_for: str | None = None
     latency_s: float = FIRST_LATENCY_S
-    reported_load: float = 0.0
 
     def observe(self, latency_s: float) -> None:
         """Add one answer time in seconds to the moving average."""
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,15 +16,30 @@
 run standin --settings "$settings"
 for name in control-1 control-2 control-3; do run control --settings "$settings" --name "$name" --init; done
 for name in entry-1 entry-2 entry-3; do run entry --settings "$settings" --name "$name"; done
-for port in 25000 25001 25002; do
-  for _ in $(seq 200); do
-    curl -sf "http://127.0.0.1:$port/readyz" >/dev/null && break
-    sleep 0.1
-  done
-done
-echo "== one query"
-curl -s "http://127.0.0.1:25000/v1/query" \
-  -d '{"route": "pitch-lookup", "query": {"q": 1}, "deadline_ms": 1000}'
-echo
+python - <<'PYTHON'
+import time
+import urllib.request
+
+
+def fetch(path, port=25000, body=None):
+    url = f"http://127.0.0.1:{port}{path}"
+    return urllib.request.urlopen(url, data=body, timeout=5).read().decode()
+
+
+for port in (25000, 25001, 25002):
+    for _ in range(200):
+        try:
+            fetch("/readyz", port)
+            break
+        except OSError:
+            time.sleep(0.1)
+time.sleep(2)
+print("== one query", flush=True)
+body = b'{"route": "pitch-lookup", "query": {"q": 1}, "deadline_ms": 2000}'
+print(fetch("/v1/query", body=body), flush=True)
+PYTHON
+echo "== what holds"
+berylspool ctl --settings "$settings" show status
+berylspool ctl --settings "$settings" show members
 echo "== a short load"
 berylspool load --settings "$settings" --route pitch-lookup --rate 60 --duration-s 8
