--- a/berylspool/process/cli.py
+++ b/berylspool/process/cli.py
@@ -16,7 +16,7 @@
 
 from berylspool.exception import BerylspoolError
 from berylspool.process.control import Control
-from berylspool.process.entry import VERSION, Entry
+from berylspool.process.entry import Entry
 from berylspool.process.load import LoadPlan, run_load, summary
 from berylspool.process.log import open_log
 from berylspool.process.operator import (
@@ -32,6 +32,7 @@
     split_address,
 )
 from berylspool.process.standin import recorder, serve, standins_of
+from berylspool.release import VERSION
 from berylspool.version.schema import to_configuration
 
 __all__ = ["app", "main"]
--- a/berylspool/process/control.py
+++ b/berylspool/process/control.py
@@ -13,7 +13,6 @@
     AdminServer,
     Ask,
     AskBackup,
-    Decided,
 )
 from berylspool.connection.control_message import (
     Addressed,
@@ -28,9 +27,10 @@
     control_codec,
 )
 from berylspool.connection.frame import HEADER_BYTES
+from berylspool.connection.link_set import LinkSet
 from berylspool.connection.listen import listen
 from berylspool.connection.mailbox import Mailbox
-from berylspool.connection.peer import Link, LinkServer, Session
+from berylspool.connection.peer import LinkServer, Session
 from berylspool.exception import (
     ProtocolError,
     SettingsError,
@@ -80,16 +80,17 @@
     Owed,
     Pause,
     Waiting,
+    answer_pauses,
 )
 from berylspool.process.repair import name_of, next_group
 from berylspool.process.replica import Applied, Installed, Replica, Result
 from berylspool.process.settings import Settings, split_address
 from berylspool.process.storage import Storage
+from berylspool.release import VERSION
 from berylspool.version.move import traffic_share
 
 __all__ = ["Control"]
 
-VERSION = "0.1.0"
 TICK_S = 0.05
 WAIT_TIMEOUT_S = 30.0
 CHANGES_PER_RECORD = 512
@@ -138,7 +139,17 @@
         self._owed = Owed()
         self._distribution = Distribution()
         self._messages = consensus_codec()
-        self._link_by_name: dict[str, Link] = {}
+        self._links = LinkSet(
+            name,
+            {
+                other: split_address(control.address)
+                for other, control in settings.controls.items()
+                if other != name
+            },
+            control_codec(),
+            sink=lambda _, message: self.inbox.put(FromLink(message)),
+            up=lambda other: self._log.put(LinkChanged(other, "up")),
+        )
         self._tasks: list[asyncio.Task[None]] = []
         founders = tuple(
             sorted(n for n, c in settings.controls.items() if c.is_voter)
@@ -186,24 +197,9 @@
         listen(self._server, self._own.address)
         self._admin.listen(self._own.admin_address)
         self._tasks.append(asyncio.ensure_future(self._log.run()))
-        for name, control in self.settings.controls.items():
-            if name != self.name:
-                self._open_link(name, *split_address(control.address))
+        self._tasks += self._links.start()
         self._log.put(ProcessStarted("control", self.name, VERSION))
 
-    def _open_link(self, name: str, host: str, port: int) -> None:
-        link = Link(
-            self.name,
-            host,
-            port,
-            control_codec(),
-            sink=lambda message: self.inbox.put(FromLink(message)),
-            up=lambda: self._log.put(LinkChanged(name, "up")),
-            down=lambda: None,
-        )
-        self._link_by_name[name] = link
-        self._tasks.append(asyncio.ensure_future(link.run()))
-
     def _session_ended(
         self, session: Session, error: ProtocolError | None
     ) -> None:
@@ -231,35 +227,29 @@
             await self._lead()
         elif not self.replica.is_member:
             self._announce()
-        self._answer_pauses()
+        answer_pauses(
+            self._owed,
+            self.membership,
+            self._clock(),
+            self.replica.is_leader,
+        )
         self._export()
 
     def _export(self) -> None:
-        replica = self.replica
-        figures = {
-            "berylspool_term": replica.node.term,
-            "berylspool_leader": float(replica.is_leader),
-            "berylspool_commit_index": replica.node.commit,
-            "berylspool_members": len(replica.state.active.member_by_name),
-            "berylspool_configuration_revision": (
-                replica.state.configuration.revision
-            ),
-        }
-        for name, value in figures.items():
+        for name, value in self.replica.figures().items():
             set_gauge(self._metrics, name, value)
 
     def _probe(self) -> None:
         """Ask the other founders about promises of this node."""
         for founder in self.replica.unconfirmed:
-            link = self._link_by_name[founder]
-            if not len(link.inbox):
-                link.inbox.put(FoundingQuery(f"{self.name}.0"))
+            query = FoundingQuery(f"{self.name}.0")
+            self._links.put_idle(founder, query)
 
     def _announce(self) -> None:
         """Let the leader know this disk's identity, so it can be added."""
-        for link in self._link_by_name.values():
-            if not len(link.inbox):
-                link.inbox.put(Announce(self.name, self.replica.node.id))
+        for name in self.settings.controls:
+            announce = Announce(self.name, self.replica.node.id)
+            self._links.put_idle(name, announce)
 
     async def _handle(self, message: Any) -> None:
         match message:
@@ -401,10 +391,9 @@
                     self._seated()
 
     def _send(self, peer: str, message: Any) -> None:
-        link = self._link_by_name.get(name_of(peer))
-        if link is not None:
-            body = self._messages.encode([message])[HEADER_BYTES:]
-            link.inbox.put(Addressed(self.replica.node.id, peer, body))
+        body = self._messages.encode([message])[HEADER_BYTES:]
+        addressed = Addressed(self.replica.node.id, peer, body)
+        self._links.put(name_of(peer), addressed)
 
     def _role_changed(self, role: str, term: int) -> None:
         self._log.put(LeaderChanged(self.name, role, term))
@@ -450,19 +439,3 @@
             if before.move_by_route.get(route) != move:
                 share = traffic_share(move)
                 self._log.put(MoveChanged(route, move.state, share, move.cause))
-
-    def _answer_pauses(self) -> None:
-        now = self._clock()
-        left = []
-        for pause in self._owed.pauses:
-            having, total, is_everywhere = membership.in_force(
-                self.membership, pause.answer.revision, now
-            )
-            is_over = now >= pause.until or not self.replica.is_leader
-            if is_everywhere or is_over:
-                pause.ask.reply.put(
-                    Decided(pause.answer, having, total, is_everywhere)
-                )
-            else:
-                left.append(pause)
-        self._owed.pauses = left
--- a/berylspool/process/control_client.py
+++ b/berylspool/process/control_client.py
@@ -1,6 +1,5 @@
 """The control client task: heartbeats, lease, configuration and ledger."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
@@ -16,9 +15,9 @@
     Tally,
     control_codec,
 )
+from berylspool.connection.link_set import LinkSet
 from berylspool.connection.mailbox import Mailbox
 from berylspool.connection.message import Member, MemberTable
-from berylspool.connection.peer import Link
 from berylspool.process.change import (
     Intend,
     LedgerDecision,
@@ -135,13 +134,20 @@
         self._lease_until = float("-inf")
         self._leader = ""
         self._asked_by_key: dict[tuple[str, bool], Asked] = {}
-        self._link_by_name: dict[str, Link] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._links = LinkSet(
+            member.name,
+            {
+                name: split_address(control.address)
+                for name, control in settings.controls.items()
+            },
+            control_codec(),
+            sink=lambda name, message: self.inbox.put(From(name, message)),
+            up=lambda name: self._log(LinkChanged(name, "up")),
+        )
 
     async def run(self) -> None:
         """Serve the inbox until the task is cancelled."""
-        for name, control in self._settings.controls.items():
-            self._open_link(name, *split_address(control.address))
+        self._links.start()
         beat_at = self._clock()
         try:
             while True:
@@ -153,21 +159,7 @@
                     self._beat()
                 self._watch_lease()
         finally:
-            for task in self._tasks:
-                task.cancel()
-
-    def _open_link(self, name: str, host: str, port: int) -> None:
-        link = Link(
-            self._member.name,
-            host,
-            port,
-            control_codec(),
-            sink=lambda message: self.inbox.put(From(name, message)),
-            up=lambda: self._log(LinkChanged(name, "up")),
-            down=lambda: None,
-        )
-        self._link_by_name[name] = link
-        self._tasks.append(asyncio.ensure_future(link.run()))
+            self._links.close()
 
     def _beat(self) -> None:
         now = self._clock()
@@ -181,8 +173,7 @@
             now,
             self._tallies(),
         )
-        for link in self._link_by_name.values():
-            link.inbox.put(beat)
+        self._links.put_all(beat)
         for key, asked in list(self._asked_by_key.items()):
             if now >= asked.until:
                 del self._asked_by_key[key]
@@ -279,7 +270,7 @@
     def _send(self, asked: Asked) -> None:
         """Send a ledger request to the leader, or to all if unknown."""
         asked.sent_at = self._clock()
-        link = self._link_by_name.get(self._leader)
-        links = [link] if link else list(self._link_by_name.values())
-        for each in links:
-            each.inbox.put(asked.asked.request)
+        if self._leader in self._links.link_by_name:
+            self._links.put(self._leader, asked.asked.request)
+        else:
+            self._links.put_all(asked.asked.request)
--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry.py
@@ -37,6 +37,7 @@
     split_address,
 )
 from berylspool.process.tally import TallyBook, follow, observe, take
+from berylspool.release import VERSION
 from berylspool.request.command import CommandTask
 from berylspool.request.fingerprint import ticket
 from berylspool.request.query import Outcome, Query, Reason, Refusal
@@ -54,7 +55,6 @@
 
 __all__ = ["Entry", "tuning_of"]
 
-VERSION = "0.1.0"
 DRAIN_CHECK_S = 0.02
 READINESS_CHECK_S = 0.1
 RETRY_AFTER_S = 1.0
--- a/berylspool/process/owed.py
+++ b/berylspool/process/owed.py
@@ -4,11 +4,19 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from berylspool.connection.admin import Ask
+from berylspool.connection.admin import Ask, Decided
 from berylspool.connection.peer import Session
 from berylspool.process.change import Change, CommandAnswer
+from berylspool.process.membership import Membership, in_force
 
-__all__ = ["FromLink", "FromSession", "Owed", "Pause", "Waiting"]
+__all__ = [
+    "FromLink",
+    "FromSession",
+    "Owed",
+    "Pause",
+    "Waiting",
+    "answer_pauses",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,3 +64,28 @@
     batch: list[Waiting] = field(default_factory=list)
     by_index: dict[int, list[Waiting]] = field(default_factory=dict)
     pauses: list[Pause] = field(default_factory=list)
+
+
+def answer_pauses(
+    owed: Owed, members: Membership, now: float, is_leader: bool
+) -> None:
+    """Answer the operators whose change is in force, or who waited enough.
+
+    Args:
+        owed: What is owed; answered pauses are dropped.
+        members: Entries as the leader sees them.
+        now: Monotonic time in seconds.
+        is_leader: Whether this node leads; all are answered if not.
+    """
+    left = []
+    for pause in owed.pauses:
+        having, total, is_everywhere = in_force(
+            members, pause.answer.revision, now
+        )
+        if is_everywhere or now >= pause.until or not is_leader:
+            pause.ask.reply.put(
+                Decided(pause.answer, having, total, is_everywhere)
+            )
+        else:
+            left.append(pause)
+    owed.pauses = left
--- a/berylspool/process/replica.py
+++ b/berylspool/process/replica.py
@@ -146,6 +146,18 @@
         """Return whether this node leads and has just heard a quorum."""
         return consensus.has_quorum_contact(self.node, self._clock())
 
+    def figures(self) -> dict[str, float]:
+        """Return the metrics of this replica by name."""
+        return {
+            "berylspool_term": self.node.term,
+            "berylspool_leader": float(self.is_leader),
+            "berylspool_commit_index": self.node.commit,
+            "berylspool_members": len(self.state.active.member_by_name),
+            "berylspool_configuration_revision": (
+                self.state.configuration.revision
+            ),
+        }
+
     def has_promise(self, id: str) -> bool:
         """Return whether a node of that id ever made a promise to this."""
         return id in self.storage.recovered.promised
--- /dev/null
+++ b/berylspool/release.py
@@ -0,0 +1,5 @@
+"""Version of this release."""
+
+__all__ = ["VERSION"]
+
+VERSION = "0.1.0"
