--- a/berylspool/process/cli.py
+++ b/berylspool/process/cli.py
@@ -37,7 +37,6 @@
 
 __all__ = ["app", "main"]
 
-EXIT_FAILURE = 1
 EXIT_SETTINGS = 2
 
 app = App(
--- a/berylspool/process/control.py
+++ b/berylspool/process/control.py
@@ -20,7 +20,6 @@
     DeltaSent,
     FoundingQuery,
     FoundingReply,
-    Grant,
     Heartbeat,
     NotLeader,
     consensus_codec,
@@ -58,16 +57,15 @@
 from berylspool.process.desk import Desk, initial_change, move_change
 from berylspool.process.distribution import (
     Distribution,
-    configuration_since,
+    answers_to,
+    heard,
     keep_delta,
     keep_table,
-    table_since,
+    members_changed,
 )
 from berylspool.process.event import (
     LeaderChanged,
     LinkChanged,
-    MembersChanged,
-    MoveChanged,
     ProcessStarted,
     ProcessStopped,
     StorageFailed,
@@ -81,13 +79,13 @@
     Pause,
     Waiting,
     answer_pauses,
+    refuse,
 )
 from berylspool.process.repair import name_of, next_group
 from berylspool.process.replica import Applied, Installed, Replica, Result
 from berylspool.process.settings import Settings, split_address
 from berylspool.process.storage import Storage
 from berylspool.release import VERSION
-from berylspool.version.move import traffic_share
 
 __all__ = ["Control"]
 
@@ -227,15 +225,8 @@
             await self._lead()
         elif not self.replica.is_member:
             self._announce()
-        answer_pauses(
-            self._owed,
-            self.membership,
-            self._clock(),
-            self.replica.is_leader,
-        )
-        self._export()
-
-    def _export(self) -> None:
+        is_leader = self.replica.is_leader
+        answer_pauses(self._owed, self.membership, self._clock(), is_leader)
         for name, value in self.replica.figures().items():
             set_gauge(self._metrics, name, value)
 
@@ -279,44 +270,22 @@
                 self.announced_by_name[name] = id
             case Heartbeat():
                 self._heartbeat(session, message)
-            case Intend() | Settle() if self.replica.is_leader:
-                self.submit(message, session.inbox.put)
             case Intend() | Settle():
-                name = self.replica.leader
-                session.inbox.put(NotLeader(name, message.request_id))
+                self.submit(message, session.inbox.put)
 
     def _heartbeat(self, session: Session, beat: Heartbeat) -> None:
-        heard = membership.Heard(
-            beat.member,
-            beat.boot,
-            beat.revision,
-            beat.drained_epoch,
-            beat.is_leaving,
-        )
-        membership.step(self.membership, heard, self._clock())
+        membership.step(self.membership, heard(beat), self._clock())
         overseer.add(self.overseer, beat.tallies)
         if not self.replica.has_quorum_contact():
             session.inbox.put(NotLeader(self.replica.leader))
             return
-        state = self.replica.state
-        if beat.revision != state.configuration.revision:
-            for message in configuration_since(
-                self._distribution, beat.revision, state.configuration
-            ):
-                session.inbox.put(message)
-        table = state.proposed or state.active
-        if beat.table_epoch != table.epoch:
-            session.inbox.put(
-                table_since(self._distribution, beat.table_epoch, table)
-            )
-        session.inbox.put(
-            Grant(
-                beat.sent_at,
-                self.settings.lease_s,
-                state.configuration.revision,
-                table.epoch,
-            )
-        )
+        for message in answers_to(
+            self._distribution,
+            beat,
+            self.replica.state,
+            self.settings.lease_s,
+        ):
+            session.inbox.put(message)
 
     def submit(
         self,
@@ -344,11 +313,6 @@
             self._owed.by_index[event.tag] = chunk
             await self.step(event)
 
-    def _refuse(self, batch: list[Waiting]) -> None:
-        for waiting in batch:
-            request_id = getattr(waiting.change, "request_id", "")
-            waiting.reply(NotLeader(self.replica.leader, request_id))
-
     async def _lead(self) -> None:
         """Do what only a leader with a quorum does on each tick."""
         group = next_group(self.replica.node)
@@ -379,9 +343,13 @@
         for output in await self.replica.step(event):
             match output:
                 case SendTo(peer=peer, message=message):
-                    self._send(peer, message)
+                    body = self._messages.encode([message])[HEADER_BYTES:]
+                    sent = Addressed(self.replica.node.id, peer, body)
+                    self._links.put(name_of(peer), sent)
                 case Rejected(tag=tag):
-                    self._refuse(self._owed.by_index.pop(tag, []))
+                    refuse(
+                        self._owed.by_index.pop(tag, []), self.replica.leader
+                    )
                 case RoleChanged(role=role, term=term):
                     self._role_changed(role, term)
                 case Applied():
@@ -390,16 +358,11 @@
                     self._distribution.deltas.clear()
                     self._seated()
 
-    def _send(self, peer: str, message: Any) -> None:
-        body = self._messages.encode([message])[HEADER_BYTES:]
-        addressed = Addressed(self.replica.node.id, peer, body)
-        self._links.put(name_of(peer), addressed)
-
     def _role_changed(self, role: str, term: int) -> None:
         self._log.put(LeaderChanged(self.name, role, term))
         owed, self._owed.by_index = self._owed.by_index, {}
         for batch in owed.values():
-            self._refuse(batch)
+            refuse(batch, self.replica.leader)
         if role == consensus.Role.LEADER:
             led = membership.Led(term)
             membership.step(self.membership, led, self._clock())
@@ -419,10 +382,7 @@
                 case Seat(table=table):
                     self._seated()
                     keep_table(self._distribution, table)
-                    names = ",".join(sorted(table.member_by_name))
-                    self._log.put(
-                        MembersChanged(table.epoch, names, table.is_active)
-                    )
+                    self._log.put(members_changed(table))
         answers = [result.answer for result in applied.results]
         for item, answer in zip(waiting, answers, strict=False):
             item.reply(answer)
@@ -435,7 +395,5 @@
             for session in self._server.session_by_id.values():
                 if session.peer not in self.settings.controls:
                     session.inbox.put(delta)
-        for route, move in after.move_by_route.items():
-            if before.move_by_route.get(route) != move:
-                share = traffic_share(move)
-                self._log.put(MoveChanged(route, move.state, share, move.cause))
+        for event in overseer.move_events(before, after):
+            self._log.put(event)
--- a/berylspool/process/distribution.py
+++ b/berylspool/process/distribution.py
@@ -5,18 +5,25 @@
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
+    Grant,
+    Heartbeat,
     TableDelta,
     TableSent,
 )
 from berylspool.connection.message import MemberTable
-from berylspool.process.membership import difference
+from berylspool.process.change import ControlState
+from berylspool.process.event import MembersChanged
+from berylspool.process.membership import Heard, difference
 from berylspool.version.configuration import Configuration
 
 __all__ = [
     "Distribution",
+    "answers_to",
     "configuration_since",
+    "heard",
     "keep_delta",
     "keep_table",
+    "members_changed",
     "table_since",
 ]
 
@@ -51,6 +58,12 @@
         del tables[min(tables)]
 
 
+def members_changed(table: MemberTable) -> MembersChanged:
+    """Return the log event of a table of members."""
+    names = ",".join(sorted(table.member_by_name))
+    return MembersChanged(table.epoch, names, table.is_active)
+
+
 def configuration_since(
     distribution: Distribution, revision: int, newest: Configuration
 ) -> list[DeltaSent] | list[ConfigurationSent]:
@@ -80,3 +93,44 @@
         return TableSent(newest)
     joined, left = difference(base, newest)
     return TableDelta(epoch, newest.epoch, newest.is_active, joined, left)
+
+
+def heard(beat: Heartbeat) -> Heard:
+    """Return what the membership needs of a heartbeat."""
+    return Heard(
+        beat.member,
+        beat.boot,
+        beat.revision,
+        beat.drained_epoch,
+        beat.is_leaving,
+    )
+
+
+def answers_to(
+    distribution: Distribution,
+    beat: Heartbeat,
+    state: ControlState,
+    lease_s: float,
+) -> list[ConfigurationSent | DeltaSent | TableDelta | TableSent | Grant]:
+    """Return what a leader with a quorum answers to a heartbeat.
+
+    Args:
+        distribution: Changes that are kept.
+        beat: Heartbeat of an entry.
+        state: Replicated state.
+        lease_s: Length of a lease in seconds.
+
+    Returns:
+        What the entry lacks, and then the lease.
+    """
+    newest = state.configuration
+    table = state.proposed or state.active
+    answers: list[
+        ConfigurationSent | DeltaSent | TableDelta | TableSent | Grant
+    ] = []
+    if beat.revision != newest.revision:
+        answers += configuration_since(distribution, beat.revision, newest)
+    if beat.table_epoch != table.epoch:
+        answers.append(table_since(distribution, beat.table_epoch, table))
+    grant = Grant(beat.sent_at, lease_s, newest.revision, table.epoch)
+    return [*answers, grant]
--- a/berylspool/process/log.py
+++ b/berylspool/process/log.py
@@ -12,7 +12,6 @@
 
 __all__ = ["LogTask", "open_log"]
 
-FLUSH_INTERVAL_S = 0.05
 BACKLOG_LINES = 100_000
 
 
--- a/berylspool/process/overseer.py
+++ b/berylspool/process/overseer.py
@@ -4,15 +4,16 @@
 from dataclasses import dataclass, field
 
 from berylspool.connection.control_message import Tally
+from berylspool.process.event import MoveChanged
 from berylspool.version import move as moves
 from berylspool.version.configuration import (
     Configuration,
     serving_upstreams,
 )
 from berylspool.version.judge import Judge, add_tally, judge, restart
-from berylspool.version.move import Move, Verdict
+from berylspool.version.move import Move, Verdict, traffic_share
 
-__all__ = ["Overseer", "add", "step"]
+__all__ = ["Overseer", "add", "move_events", "step"]
 
 
 @dataclass(slots=True)
@@ -73,6 +74,17 @@
     return changed
 
 
+def move_events(
+    before: Configuration, after: Configuration
+) -> list[MoveChanged]:
+    """Return a log event for each move that a change has changed."""
+    return [
+        MoveChanged(route, move.state, traffic_share(move), move.cause)
+        for route, move in after.move_by_route.items()
+        if before.move_by_route.get(route) != move
+    ]
+
+
 def _is_ready(configuration: Configuration, move: Move) -> bool:
     """Return whether the new version has an upstream for each shard."""
     route = configuration.route_by_name[move.route]
--- a/berylspool/process/owed.py
+++ b/berylspool/process/owed.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from berylspool.connection.admin import Ask, Decided
+from berylspool.connection.control_message import NotLeader
 from berylspool.connection.peer import Session
 from berylspool.process.change import Change, CommandAnswer
 from berylspool.process.membership import Membership, in_force
@@ -16,6 +17,7 @@
     "Pause",
     "Waiting",
     "answer_pauses",
+    "refuse",
 ]
 
 
@@ -66,6 +68,18 @@
     pauses: list[Pause] = field(default_factory=list)
 
 
+def refuse(batch: list[Waiting], leader: str) -> None:
+    """Tell who waits that this node does not lead.
+
+    Args:
+        batch: Changes that were not taken.
+        leader: Name of the node that may lead, or empty.
+    """
+    for waiting in batch:
+        request_id = getattr(waiting.change, "request_id", "")
+        waiting.reply(NotLeader(leader, request_id))
+
+
 def answer_pauses(
     owed: Owed, members: Membership, now: float, is_leader: bool
 ) -> None:
--- a/berylspool/process/replica.py
+++ b/berylspool/process/replica.py
@@ -34,6 +34,7 @@
     Snapshot,
     SnapshotTaken,
 )
+from berylspool.process.node import term_at
 from berylspool.process.repair import name_of
 from berylspool.process.storage import Storage
 from berylspool.version.configuration import Configuration
@@ -143,8 +144,17 @@
         return self.node.role is consensus.Role.LEADER
 
     def has_quorum_contact(self) -> bool:
-        """Return whether this node leads and has just heard a quorum."""
-        return consensus.has_quorum_contact(self.node, self._clock())
+        """Return whether this node leads, and its state is the newest.
+
+        It has just heard a quorum, and a record of its own term is
+        committed; before that, records of former leaders may be committed
+        that are not applied here (Ongaro 2014, section 6.4).
+        """
+        node = self.node
+        has_own_commit = term_at(node, node.commit) == node.term
+        return has_own_commit and consensus.has_quorum_contact(
+            node, self._clock()
+        )
 
     def figures(self) -> dict[str, float]:
         """Return the metrics of this replica by name."""
--- a/berylspool/process/storage.py
+++ b/berylspool/process/storage.py
@@ -158,11 +158,6 @@
             self._has_failed = True
             raise StorageError(f"{self._folder}: {error}") from error
 
-    def size_bytes(self) -> int:
-        """Return the size of the data folder's files in bytes."""
-        paths = (self._log_path, self._snapshot_path)
-        return sum(p.stat().st_size for p in paths if p.exists())
-
     def close(self) -> None:
         """Close the files; what was not synced may be lost."""
         self._file.close()
--- a/berylspool/version/schema.py
+++ b/berylspool/version/schema.py
@@ -16,7 +16,6 @@
 __all__ = ["ConfigurationModel", "to_configuration"]
 
 ADDRESS_PATTERN = r"^[0-9.]+:\d{1,5}$"
-NAME_PATTERN = r"^[A-Za-z][A-Za-z0-9_.-]{0,63}$"
 
 
 class StrictModel(BaseModel):
