--- a/bench/entry.py
+++ b/bench/entry.py
@@ -18,9 +18,9 @@
 from bench.deployment import Deployment, deployment
 from berylspool.connection import wire
 from berylspool.connection.http import HttpStream, connect
-from berylspool.process.load import LoadPlan, run_load
 from berylspool.process.settings import split_address
 from berylspool.request.query import Part, Snapshot
+from berylspool.tool.load import LoadPlan, run_load
 
 ROUTE = "pitch-lookup"
 WARM_UP_S = 6.0
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -15,8 +15,8 @@
 from bench.deployment import Deployment, deployment
 from berylspool.connection.http import connect
 from berylspool.exception import ConnectionLostError, ProtocolError
-from berylspool.process.load import LoadPlan, run_load
 from berylspool.process.settings import split_address
+from berylspool.tool.load import LoadPlan, run_load
 
 ROUTE = "pitch-lookup"
 RATE = 60.0
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -13,6 +13,7 @@
 import tracemalloc
 from collections.abc import Callable
 
+from berylspool.common.frame import HEADER_BYTES
 from berylspool.connection.control_message import (
     ConfigurationSent,
     Grant,
@@ -20,15 +21,14 @@
     TableSent,
     control_codec,
 )
-from berylspool.connection.frame import HEADER_BYTES
 from berylspool.connection.message import (
     AskPart,
     Member,
     MemberTable,
     peer_codec,
 )
-from berylspool.process import membership
-from berylspool.process.change import (
+from berylspool.process.control import membership
+from berylspool.process.group.change import (
     Configure,
     ControlState,
     Intend,
@@ -37,7 +37,6 @@
     encode_state,
 )
 from berylspool.request.query import Part, PartRows, Snapshot
-from berylspool.version.admission import step
 from berylspool.version.configuration import (
     Configuration,
     Limits,
@@ -53,7 +52,8 @@
     operation_codec,
 )
 from berylspool.version.placement import owners_after, owners_by_service
-from berylspool.version.pool_message import (
+from berylspool.version.pool.admission import step
+from berylspool.version.pool.message import (
     AttemptAnswered,
     Connect,
     ConnectionOpened,
@@ -62,9 +62,9 @@
     RowsReply,
     Send,
 )
-from berylspool.version.pool_state import Pool, Tuning
+from berylspool.version.pool.state import Pool, Tuning
+from berylspool.version.pool.upstream_view import ZoneAware
 from berylspool.version.revision import apply_all
-from berylspool.version.upstream_view import ZoneAware
 
 SIZES = (500, 1000, 2000)
 REPEATS = 5
--- a/bench/tail.py
+++ b/bench/tail.py
@@ -13,8 +13,8 @@
 import yaml
 
 from bench.deployment import deployment
-from berylspool.process.load import LoadPlan, run_load, summary
 from berylspool.process.settings import split_address
+from berylspool.tool.load import LoadPlan, run_load, summary
 
 POLICIES = {
     "owned": {},
--- a/bench/zones.py
+++ b/bench/zones.py
@@ -9,8 +9,8 @@
 import time
 
 from bench.deployment import Deployment, deployment
-from berylspool.process.load import LoadPlan, run_load, summary
 from berylspool.process.settings import split_address
+from berylspool.tool.load import LoadPlan, run_load, summary
 
 ROUTE = "pitch-lookup"
 ZONE = "derby"
--- a/berylspool/__main__.py
+++ b/berylspool/__main__.py
@@ -1,6 +1,6 @@
 """Run the command line with `python -m berylspool`."""
 
-from berylspool.process.cli import main
+from berylspool.tool.cli import main
 
 if __name__ == "__main__":
     main()
--- /dev/null
+++ b/berylspool/common/__init__.py
@@ -0,0 +1,1 @@
+"""What every life span shares: mailboxes, frames, log events, sums."""
--- a/berylspool/connection/tests/test_frame.py
+++ b/berylspool/common/tests/test_frame.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylspool.connection.frame import HEADER_BYTES, frame_length
+from berylspool.common.frame import HEADER_BYTES, frame_length
 from berylspool.connection.message import (
     AskPart,
     DropPart,
--- a/berylspool/connection/__init__.py
+++ b/berylspool/connection/__init__.py
@@ -1,3 +1,3 @@
 """What lives for a connection: to callers, to upstreams, between peers."""
 
-from berylspool.connection.frame import *
+from berylspool.common.frame import *
--- a/berylspool/connection/admin.py
+++ b/berylspool/connection/admin.py
@@ -11,8 +11,9 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from berylspool.common.mailbox import Mailbox
+from berylspool.common.metric import Metrics
 from berylspool.connection.listen import listen
-from berylspool.connection.mailbox import Mailbox
 from berylspool.connection.scrape import MetricsHandler
 from berylspool.exception import (
     BerylspoolError,
@@ -20,10 +21,9 @@
     NoLeaderError,
     PermissionDeniedError,
 )
-from berylspool.process.change import CommandAnswer
-from berylspool.process.metric import Metrics
 from berylspool.version.configuration import Configuration
 from berylspool.version.operation import Operation
+from berylspool.version.statement import CommandAnswer
 
 __all__ = [
     "AdminServer",
--- a/berylspool/connection/caller.py
+++ b/berylspool/connection/caller.py
@@ -10,15 +10,15 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
-from berylspool.connection.listen import listen
-from berylspool.process.current import Current
-from berylspool.process.event import Event, RequestRefused
-from berylspool.process.metric import (
+from berylspool.common.current import Current
+from berylspool.common.event import Event, RequestRefused
+from berylspool.common.metric import (
     Metrics,
     count,
     exposition,
     record_latency,
 )
+from berylspool.connection.listen import listen
 from berylspool.request.fingerprint import fingerprint
 from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
 
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from berylspool.connection.frame import Codec
+from berylspool.common.frame import Codec
 from berylspool.connection.message import (
     Hello,
     Member,
@@ -10,16 +10,7 @@
     Ping,
     Pong,
 )
-from berylspool.process.change import Intend, LedgerReply, Settle
-from berylspool.process.consensus_message import (
-    AppendRecords,
-    AppendReply,
-    InstallSnapshot,
-    PreVote,
-    PreVoteReply,
-    Vote,
-    VoteReply,
-)
+from berylspool.request.ledger import Intend, LedgerReply, Settle
 from berylspool.version.configuration import Configuration
 from berylspool.version.listing import ListedUpstream, Listing
 
@@ -38,7 +29,6 @@
     "TableDelta",
     "TableSent",
     "Tally",
-    "consensus_codec",
     "control_codec",
 ]
 
@@ -269,18 +259,3 @@
             FoundingReply,
         ]
     )
-
-
-def consensus_codec() -> Codec:
-    """Return the codec of consensus messages."""
-    return Codec(
-        [
-            PreVote,
-            PreVoteReply,
-            Vote,
-            VoteReply,
-            AppendRecords,
-            AppendReply,
-            InstallSnapshot,
-        ]
-    )
--- a/berylspool/connection/link_set.py
+++ b/berylspool/connection/link_set.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from berylspool.connection.frame import Codec
+from berylspool.common.frame import Codec
 from berylspool.connection.peer import Link
 
 __all__ = ["LinkSet"]
--- a/berylspool/connection/message.py
+++ b/berylspool/connection/message.py
@@ -2,14 +2,14 @@
 
 from dataclasses import dataclass, field
 
-from berylspool.connection.frame import Codec
+from berylspool.common.frame import Codec
 from berylspool.request.query import (
     Part,
     PartFailed,
     PartRefused,
     PartRows,
 )
-from berylspool.version.pool_message import Blame
+from berylspool.version.pool.message import Blame
 
 __all__ = [
     "AskPart",
--- a/berylspool/connection/peer.py
+++ b/berylspool/connection/peer.py
@@ -8,8 +8,8 @@
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
-from berylspool.connection.frame import HEADER_BYTES, Codec, frame_length
-from berylspool.connection.mailbox import Mailbox
+from berylspool.common.frame import HEADER_BYTES, Codec, frame_length
+from berylspool.common.mailbox import Mailbox
 from berylspool.connection.message import (
     PROTOCOL_VERSION,
     Hello,
--- a/berylspool/connection/scrape.py
+++ b/berylspool/connection/scrape.py
@@ -3,8 +3,8 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from berylspool.common.metric import Metrics, exposition
 from berylspool.connection.listen import listen
-from berylspool.process.metric import Metrics, exposition
 
 __all__ = ["MetricsHandler", "ScrapeServer"]
 
--- a/berylspool/connection/upstream.py
+++ b/berylspool/connection/upstream.py
@@ -5,19 +5,23 @@
 
 import orjson
 
+from berylspool.common.mailbox import Mailbox
 from berylspool.connection import wire
 from berylspool.connection.http import HttpReply, HttpStream, connect
-from berylspool.connection.mailbox import Mailbox
+from berylspool.connection.wire import attempt_name
 from berylspool.exception import ConnectionLostError, ProtocolError
 from berylspool.version.configuration import Upstream
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     AttemptAnswered,
+    CancelAttempt,
     ConnectionClosed,
     ConnectionOpened,
     HealthReported,
     PoolEvent,
     Send,
+    Shut,
 )
+from berylspool.version.pool.task import ConnectionTask
 
 __all__ = ["UpstreamConnection", "UpstreamWatch"]
 
@@ -27,11 +31,6 @@
 WATCH_TIMEOUT_S = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Shut:
-    """Close the connection and end the task."""
-
-
 @dataclass(frozen=True, slots=True)
 class Cancel:
     """Tell the upstream that an attempt is no longer wanted."""
@@ -200,3 +199,30 @@
     if not instance:
         raise ProtocolError("no instance id")
     return instance
+
+
+class OwnProtocol:
+    """Transport to upstreams that keep the contract of docs/UPSTREAM.md."""
+
+    def connection(
+        self, connection_id: int, upstream: Upstream, pool: Mailbox[PoolEvent]
+    ) -> ConnectionTask:
+        """Return the task of a new connection."""
+        return UpstreamConnection(connection_id, upstream, pool)
+
+    def watch(
+        self, upstream: Upstream, pool: Mailbox[PoolEvent]
+    ) -> ConnectionTask | None:
+        """Return the task for health and cancellation."""
+        return UpstreamWatch(upstream, pool)
+
+    def cancel(
+        self,
+        action: CancelAttempt,
+        connection: ConnectionTask | None,
+        watch: ConnectionTask | None,
+    ) -> None:
+        """Tell the upstream on the connection that watches it."""
+        if watch is not None:
+            name = attempt_name(action.part_id, action.attempt_id)
+            watch.inbox.put(Cancel(name))
--- a/berylspool/connection/wire.py
+++ b/berylspool/connection/wire.py
@@ -6,7 +6,7 @@
 
 from berylspool.exception import ProtocolError
 from berylspool.request.query import Part, Reason, Snapshot
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     ErrorReply,
     NotRunReply,
     RowsReply,
--- a/berylspool/platform/discovery.py
+++ b/berylspool/platform/discovery.py
@@ -7,10 +7,10 @@
 import orjson
 from pydantic import ConfigDict, ValidationError
 
+from berylspool.common.event import Event, ListEntrySkipped
 from berylspool.connection.http import HttpStream, connect
 from berylspool.exception import ConnectionLostError, ProtocolError
 from berylspool.platform.model import PlatformModel
-from berylspool.process.event import Event, ListEntrySkipped
 from berylspool.process.settings import split_address
 from berylspool.version.configuration import Upstream, UpstreamState
 from berylspool.version.listing import ListedUpstream
--- a/berylspool/platform/operators.py
+++ b/berylspool/platform/operators.py
@@ -9,6 +9,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from berylspool.common.mailbox import Mailbox
 from berylspool.connection.admin import (
     AskChange,
     AskState,
@@ -18,7 +19,6 @@
     StateShown,
 )
 from berylspool.connection.listen import listen
-from berylspool.connection.mailbox import Mailbox
 from berylspool.exception import ConfigurationError
 from berylspool.platform.document import read_document, unpack_document
 from berylspool.platform.model import PlatformModel
--- a/berylspool/platform/roles.py
+++ b/berylspool/platform/roles.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Protocol
 
+from berylspool.common.event import Event, SettingsReloaded
 from berylspool.exception import SettingsError
 from berylspool.platform.settings import (
     PlatformSettings,
@@ -15,7 +16,6 @@
     read_settings,
     settings_path,
 )
-from berylspool.process.event import Event, SettingsReloaded
 from berylspool.process.log import open_standard_output
 from berylspool.process.settings import Settings
 
@@ -54,7 +54,7 @@
     from berylspool.platform.document import decode_plan
     from berylspool.platform.ingress import Ingress, Readiness
     from berylspool.platform.upstream import PlatformTransport
-    from berylspool.process.forwarder import Forwarder
+    from berylspool.process.entry.forwarder import Forwarder
 
     path = settings_path()
     given = read_settings(path)
@@ -84,10 +84,10 @@
     from berylspool.connection.scrape import ScrapeServer
     from berylspool.platform.discovery import ListClient
     from berylspool.platform.operators import OperatorServer
-    from berylspool.process.control import Control
+    from berylspool.process.control.role import Control
+    from berylspool.process.control.surroundings import Surroundings
+    from berylspool.process.group.node import Timing
     from berylspool.process.log import LogTask
-    from berylspool.process.node import Timing
-    from berylspool.process.surroundings import Surroundings
 
     path = settings_path()
     given = read_settings(path)
--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -10,8 +10,8 @@
 from berylspool.platform.document import decode_plan, read_document
 from berylspool.platform.ingress import Ingress
 from berylspool.platform.upstream import PlatformTransport
-from berylspool.process.forwarder import Forwarder
-from berylspool.process.routing_message import LeaseSet
+from berylspool.process.entry.forwarder import Forwarder
+from berylspool.process.entry.routing_message import LeaseSet
 from berylspool.process.settings import EntrySettings, Settings
 from berylspool.tests.cluster import free_ports
 from berylspool.version.configuration import Configuration, Upstream
--- a/berylspool/platform/tests/test_upstream.py
+++ b/berylspool/platform/tests/test_upstream.py
@@ -8,8 +8,7 @@
 
 import pytest
 
-from berylspool.connection.mailbox import Mailbox
-from berylspool.connection.upstream import Shut
+from berylspool.common.mailbox import Mailbox
 from berylspool.platform.upstream import PlatformTransport
 from berylspool.request.query import (
     Forward,
@@ -19,7 +18,7 @@
     UpstreamResponse,
 )
 from berylspool.version.configuration import Upstream
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     AttemptAnswered,
     ConnectionClosed,
     ConnectionOpened,
@@ -28,6 +27,7 @@
     ReportedLoad,
     RowsReply,
     Send,
+    Shut,
 )
 
 PATIENCE_S = 10.0
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -8,8 +8,7 @@
 
 import httptools
 
-from berylspool.connection.mailbox import Mailbox
-from berylspool.connection.upstream import Shut
+from berylspool.common.mailbox import Mailbox
 from berylspool.platform import headers
 from berylspool.request.query import (
     Part,
@@ -18,8 +17,7 @@
     UpstreamResponse,
 )
 from berylspool.version.configuration import Upstream
-from berylspool.version.pool import ConnectionTask
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     AttemptAnswered,
     CancelAttempt,
     ConnectionClosed,
@@ -30,8 +28,10 @@
     ReportedLoad,
     RowsReply,
     Send,
+    Shut,
     UpstreamReply,
 )
+from berylspool.version.pool.task import ConnectionTask
 
 __all__ = ["PlatformTransport", "Response", "decode_response", "encode_request"]
 
--- /dev/null
+++ b/berylspool/process/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control role: membership, moves, operators, and what entries get."""
--- a/berylspool/process/desk.py
+++ b/berylspool/process/control/desk.py
@@ -4,8 +4,10 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
+from berylspool.common.frame import HEADER_BYTES
 from berylspool.connection.admin import (
     Ask,
+    AskBackup,
     AskChange,
     AskReply,
     AskState,
@@ -15,7 +17,6 @@
     Shown,
     StateShown,
 )
-from berylspool.connection.frame import HEADER_BYTES
 from berylspool.exception import (
     BerylspoolError,
     CommandError,
@@ -23,18 +24,22 @@
     PermissionDeniedError,
     UnknownNameError,
 )
-from berylspool.process import membership
-from berylspool.process.change import Change, CommandAnswer, Configure
-from berylspool.process.consensus_message import (
+from berylspool.process.control import membership
+from berylspool.process.control.overseer import Overseer
+from berylspool.process.control.view import ControlView, difference, rows_of
+from berylspool.process.group.change import (
+    Change,
+    Configure,
+    encode_state,
+)
+from berylspool.process.group.message import (
     ConsensusEvent,
     Group,
     ProposeGroup,
 )
-from berylspool.process.overseer import Overseer
-from berylspool.process.repair import name_of
-from berylspool.process.replica import Replica
+from berylspool.process.group.repair import name_of
+from berylspool.process.group.replica import Replica
 from berylspool.process.settings import Settings
-from berylspool.process.view import ControlView, difference, rows_of
 from berylspool.version.move import Move
 from berylspool.version.operation import (
     Operation,
@@ -48,6 +53,7 @@
     AddControl,
     ChangeConfiguration,
     Command,
+    CommandAnswer,
     RemoveControl,
     ReplaceControl,
     Show,
@@ -144,6 +150,12 @@
         state = self._control.replica.state
         ask.reply.put(StateShown(state.configuration))
 
+    def back_up(self, ask: AskBackup) -> None:
+        """Hand out the encoded state; only a leader has all of it."""
+        replica = self._control.replica
+        is_leading = replica.has_quorum_contact()
+        ask.reply.put(encode_state(replica.state) if is_leading else b"")
+
     def change(self, ask: AskChange) -> None:
         """See that a change is committed and answered."""
         if not self._may_answer():
--- a/berylspool/process/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from berylspool.common.event import MembersChanged
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
@@ -13,9 +14,8 @@
     TableSent,
 )
 from berylspool.connection.message import MemberTable
-from berylspool.process.change import ControlState
-from berylspool.process.event import MembersChanged
-from berylspool.process.membership import Heard, difference
+from berylspool.process.control.membership import Heard, difference
+from berylspool.process.group.change import ControlState
 from berylspool.version import listing as listings
 from berylspool.version.configuration import Configuration
 from berylspool.version.listing import ListedUpstream, Listing
--- a/berylspool/process/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -9,7 +9,7 @@
 )
 from berylspool.connection.message import MemberTable
 from berylspool.connection.peer import Session
-from berylspool.process.distribution import (
+from berylspool.process.control.distribution import (
     Distribution,
     answers_to,
     keep_convicted,
@@ -17,8 +17,8 @@
     keep_listing,
     keep_table,
 )
-from berylspool.process.repair import name_of
-from berylspool.process.replica import Replica
+from berylspool.process.group.repair import name_of
+from berylspool.process.group.replica import Replica
 from berylspool.version.listing import ListedUpstream
 
 __all__ = ["EntrySessions"]
--- a/berylspool/process/overseer.py
+++ b/berylspool/process/control/overseer.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from berylspool.common.event import MoveChanged
 from berylspool.connection.control_message import Tally
-from berylspool.process.event import MoveChanged
 from berylspool.version import move as moves
 from berylspool.version.configuration import (
     Configuration,
--- a/berylspool/process/owed.py
+++ b/berylspool/process/control/owed.py
@@ -7,8 +7,9 @@
 from berylspool.connection.admin import Ask, Decided
 from berylspool.connection.control_message import NotLeader
 from berylspool.connection.peer import Session
-from berylspool.process.change import Change, CommandAnswer
-from berylspool.process.membership import Membership, in_force
+from berylspool.process.control.membership import Membership, in_force
+from berylspool.process.group.change import Change
+from berylspool.version.statement import CommandAnswer
 
 __all__ = [
     "FromLink",
@@ -16,11 +17,17 @@
     "Owed",
     "Pause",
     "Waiting",
+    "answer_committed",
     "answer_pauses",
     "refuse",
+    "refuse_all",
+    "take_records",
 ]
 
 
+CHANGES_PER_RECORD = 512
+
+
 @dataclass(frozen=True, slots=True)
 class FromSession:
     """A message on a link that somebody else opened."""
@@ -80,6 +87,29 @@
         waiting.reply(NotLeader(leader, request_id))
 
 
+def take_records(owed: Owed) -> list[list[Waiting]]:
+    """Take the waiting changes, divided into records."""
+    batch, owed.batch = owed.batch, []
+    return [
+        batch[start : start + CHANGES_PER_RECORD]
+        for start in range(0, len(batch), CHANGES_PER_RECORD)
+    ]
+
+
+def refuse_all(owed: Owed, leader: str) -> None:
+    """Tell all who wait for a commit that this node may not lead."""
+    former, owed.by_index = owed.by_index, {}
+    for batch in former.values():
+        refuse(batch, leader)
+
+
+def answer_committed(owed: Owed, index: int, answers: list[Any]) -> None:
+    """Answer those whose changes were in a committed record."""
+    waiting = owed.by_index.pop(index, [])
+    for item, answer in zip(waiting, answers, strict=False):
+        item.reply(answer)
+
+
 def answer_pauses(
     owed: Owed, members: Membership, now: float, is_leader: bool
 ) -> None:
--- a/berylspool/process/control.py
+++ b/berylspool/process/control/role.py
@@ -8,6 +8,16 @@
 from pathlib import Path
 from typing import Any
 
+from berylspool.common.event import (
+    LeaderChanged,
+    LinkChanged,
+    ProcessStarted,
+    ProcessStopped,
+    StorageFailed,
+)
+from berylspool.common.frame import HEADER_BYTES
+from berylspool.common.mailbox import Mailbox
+from berylspool.common.metric import Metrics, set_gauge
 from berylspool.connection.admin import (
     AdminServer,
     Ask,
@@ -22,29 +32,45 @@
     FoundingQuery,
     FoundingReply,
     Heartbeat,
-    consensus_codec,
     control_codec,
 )
-from berylspool.connection.frame import HEADER_BYTES
 from berylspool.connection.listen import listen
-from berylspool.connection.mailbox import Mailbox
 from berylspool.connection.peer import LinkServer, Session
 from berylspool.exception import (
     ProtocolError,
     SettingsError,
     StorageError,
 )
-from berylspool.process import consensus, membership, overseer
-from berylspool.process.change import (
+from berylspool.process.control import membership, overseer
+from berylspool.process.control.desk import Desk, initial_change, move_change
+from berylspool.process.control.distribution import heard, members_changed
+from berylspool.process.control.entry_sessions import EntrySessions
+from berylspool.process.control.owed import (
+    FromLink,
+    FromSession,
+    Owed,
+    Pause,
+    Waiting,
+    answer_committed,
+    answer_pauses,
+    refuse,
+    refuse_all,
+    take_records,
+)
+from berylspool.process.control.surroundings import (
+    ListingRead,
+    Surroundings,
+    read_listing,
+)
+from berylspool.process.control_links import control_links
+from berylspool.process.group import consensus
+from berylspool.process.group.change import (
     Change,
-    CommandAnswer,
     Configure,
-    Intend,
     Seat,
-    Settle,
-    encode_state,
 )
-from berylspool.process.consensus_message import (
+from berylspool.process.group.keeper import GroupKeeper
+from berylspool.process.group.message import (
     ConsensusEvent,
     ProposeGroup,
     Received,
@@ -52,47 +78,22 @@
     RoleChanged,
     SendTo,
     Ticked,
+    consensus_codec,
 )
-from berylspool.process.control_links import control_links
-from berylspool.process.desk import Desk, initial_change, move_change
-from berylspool.process.distribution import heard, members_changed
-from berylspool.process.entry_sessions import EntrySessions
-from berylspool.process.event import (
-    LeaderChanged,
-    LinkChanged,
-    ProcessStarted,
-    ProcessStopped,
-    StorageFailed,
-)
-from berylspool.process.group_keeper import GroupKeeper
+from berylspool.process.group.repair import name_of
+from berylspool.process.group.replica import Applied, Installed, Replica, Result
+from berylspool.process.group.storage import Storage
 from berylspool.process.lifetime import serve_until, stop_event
 from berylspool.process.log import LogTask
-from berylspool.process.metric import Metrics, set_gauge
-from berylspool.process.owed import (
-    FromLink,
-    FromSession,
-    Owed,
-    Pause,
-    Waiting,
-    answer_pauses,
-    refuse,
-)
-from berylspool.process.repair import name_of
-from berylspool.process.replica import Applied, Installed, Replica, Result
 from berylspool.process.settings import Settings
-from berylspool.process.storage import Storage
-from berylspool.process.surroundings import (
-    ListingRead,
-    Surroundings,
-    read_listing,
-)
 from berylspool.release import VERSION
+from berylspool.request.ledger import Intend, Settle
+from berylspool.version.statement import CommandAnswer
 
 __all__ = ["Control"]
 
 TICK_S = 0.05
 WAIT_TIMEOUT_S = 30.0
-CHANGES_PER_RECORD = 512
 NO_TAG = 0
 
 
@@ -208,10 +209,7 @@
         reader = self._surroundings.reader
         if reader is not None:
             reading = read_listing(
-                reader,
-                self.inbox,
-                is_reading=self.replica_leads,
-                log=self._log.put,
+                reader, self.inbox, self.replica_leads, self._log.put
             )
             self._tasks.append(asyncio.ensure_future(reading))
         self._log.put(ProcessStarted("control", self.name, VERSION))
@@ -274,10 +272,8 @@
                 self._desk.show_state(message)
             case ListingRead():
                 self._entries.keep_listing(message.listed_by_id)
-            case AskBackup(reply=reply):
-                is_leading = self.replica.has_quorum_contact()
-                state = self.replica.state
-                reply.put(encode_state(state) if is_leading else b"")
+            case AskBackup():
+                self._desk.back_up(message)
 
     async def _handle_session(self, session: Session, message: Any) -> None:
         match message:
@@ -320,9 +316,7 @@
         self._owed.pauses.append(Pause(ask, answer, until))
 
     async def _propose_batch(self) -> None:
-        batch, self._owed.batch = self._owed.batch, []
-        for start in range(0, len(batch), CHANGES_PER_RECORD):
-            chunk = batch[start : start + CHANGES_PER_RECORD]
+        for chunk in take_records(self._owed):
             event = self.replica.propose([item.change for item in chunk])
             self._owed.by_index[event.tag] = chunk
             await self.step(event)
@@ -374,9 +368,7 @@
 
     def _role_changed(self, role: str, term: int) -> None:
         self._log.put(LeaderChanged(self.name, role, term))
-        owed, self._owed.by_index = self._owed.by_index, {}
-        for batch in owed.values():
-            refuse(batch, self.replica.leader)
+        refuse_all(self._owed, self.replica.leader)
         if role == consensus.Role.LEADER:
             led = membership.Led(term)
             membership.step(self.membership, led, self._clock())
@@ -389,7 +381,6 @@
         membership.step(self.membership, seated, self._clock())
 
     def _applied(self, applied: Applied) -> None:
-        waiting = self._owed.by_index.pop(applied.index, [])
         for result in applied.results:
             match result.change:
                 case Configure() if result.after is not result.before:
@@ -399,8 +390,7 @@
                     self._entries.keep_table(table)
                     self._log.put(members_changed(table))
         answers = [result.answer for result in applied.results]
-        for item, answer in zip(waiting, answers, strict=False):
-            item.reply(answer)
+        answer_committed(self._owed, applied.index, answers)
 
     def _changed(self, result: Result, change: Configure) -> None:
         before, after = result.before, result.after
--- a/berylspool/process/surroundings.py
+++ b/berylspool/process/control/surroundings.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from berylspool.connection.mailbox import Mailbox
+from berylspool.common.event import Event, ListingFailed
+from berylspool.common.mailbox import Mailbox
 from berylspool.exception import BerylspoolError
-from berylspool.process.event import Event, ListingFailed
-from berylspool.process.node import Timing
+from berylspool.process.group.node import Timing
 from berylspool.version.listing import ListedUpstream
 
 __all__ = [
@@ -74,7 +74,6 @@
 async def read_listing(
     reader: ListReader,
     inbox: Mailbox[Any],
-    *,
     is_reading: Callable[[], bool],
     log: Callable[[Event], None],
 ) -> None:
--- a/berylspool/process/view.py
+++ b/berylspool/process/control/view.py
@@ -4,10 +4,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from berylspool.process import membership
-from berylspool.process.change import ControlState
-from berylspool.process.consensus_message import Group
-from berylspool.process.overseer import Overseer
+from berylspool.process.control import membership
+from berylspool.process.control.overseer import Overseer
+from berylspool.process.group.change import ControlState
+from berylspool.process.group.message import Group
 from berylspool.version.configuration import Configuration
 from berylspool.version.judge import Judge, evidence
 from berylspool.version.move import traffic_share
--- /dev/null
+++ b/berylspool/process/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry roles: routing of parts, and the client of control."""
--- a/berylspool/process/accounts.py
+++ b/berylspool/process/entry/accounts.py
@@ -2,12 +2,12 @@
 
 from collections.abc import Callable
 
-from berylspool.process.event import Event, RequestEnded
-from berylspool.process.metric import Metrics, count, record_latency
+from berylspool.common.event import Event, RequestEnded
+from berylspool.common.metric import Metrics, count, record_latency
 from berylspool.request.fanout import Pinned
 from berylspool.request.query import Answer, Outcome, Query, Refusal
 from berylspool.version.forwarding import ForwardRoute
-from berylspool.version.pool_message import Observed, OutrunReply
+from berylspool.version.pool.message import Observed, OutrunReply
 
 __all__ = ["count_reply", "end_request", "refuse_request"]
 
--- a/berylspool/process/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -4,6 +4,14 @@
 from dataclasses import dataclass
 from typing import Any
 
+from berylspool.common.event import (
+    ConfigurationApplied,
+    Event,
+    LeaseChanged,
+    LinkChanged,
+    ListingApplied,
+)
+from berylspool.common.mailbox import Mailbox
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
@@ -16,24 +24,16 @@
     TableSent,
     Tally,
 )
-from berylspool.connection.mailbox import Mailbox
 from berylspool.connection.message import Member, MemberTable
-from berylspool.process.change import (
-    Intend,
+from berylspool.process.control.membership import changed_table
+from berylspool.process.control_links import control_links
+from berylspool.process.settings import Settings
+from berylspool.request.ledger import (
+    LedgerAsked,
     LedgerDecision,
     LedgerReply,
     Settle,
 )
-from berylspool.process.control_links import control_links
-from berylspool.process.event import (
-    ConfigurationApplied,
-    Event,
-    LeaseChanged,
-    LinkChanged,
-    ListingApplied,
-)
-from berylspool.process.membership import changed_table
-from berylspool.process.settings import Settings
 from berylspool.version.configuration import Configuration
 from berylspool.version.listing import Listing, changed_listing
 from berylspool.version.operation import (
@@ -41,7 +41,7 @@
 )
 from berylspool.version.revision import apply_all
 
-__all__ = ["ControlClient", "Drained", "Leave", "LedgerAsked"]
+__all__ = ["ControlClient", "Drained", "Leave"]
 
 HEARTBEAT_S = 0.25
 # Four heartbeats: a leader that is silent for longer may have lost its place.
@@ -64,19 +64,6 @@
     """The process shuts down and hands its services over."""
 
 
-@dataclass(frozen=True, slots=True)
-class LedgerAsked:
-    """A request task asks the ledger.
-
-    Attributes:
-        request: What it asks.
-        inbox: Takes the `LedgerReply`, or nothing if there is none.
-    """
-
-    request: Intend | Settle
-    inbox: Mailbox[Any]
-
-
 @dataclass(frozen=True, slots=True)
 class From:
     """A message from a control node."""
--- a/berylspool/process/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -11,41 +11,41 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
 
+from berylspool.common.event import (
+    ProcessStarted,
+    ProcessStopped,
+    RequestBlamed,
+)
+from berylspool.common.metric import Metrics, set_gauge
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError
-from berylspool.process.accounts import (
+from berylspool.process.entry.accounts import (
     count_reply,
     end_request,
     refuse_request,
 )
-from berylspool.process.control_client import (
+from berylspool.process.entry.control_client import (
     ControlClient,
     Drained,
     Leave,
 )
-from berylspool.process.event import (
-    ProcessStarted,
-    ProcessStopped,
-    RequestBlamed,
-)
-from berylspool.process.in_force import InForce
-from berylspool.process.lifetime import stop_event
-from berylspool.process.log import LogTask
-from berylspool.process.metric import Metrics, set_gauge
-from berylspool.process.router import Router
-from berylspool.process.routing import Routing
-from berylspool.process.routing_message import (
+from berylspool.process.entry.in_force import InForce
+from berylspool.process.entry.router import Router
+from berylspool.process.entry.routing import Routing
+from berylspool.process.entry.routing_message import (
     BlameHeard,
     ConfigurationChanged,
     LeaseSet,
     Sharing,
 )
+from berylspool.process.entry.tally import TallyBook, follow, observe, take
+from berylspool.process.entry.tuning import shared_tuning
+from berylspool.process.lifetime import stop_event
+from berylspool.process.log import LogTask
 from berylspool.process.settings import (
     Settings,
     split_address,
 )
-from berylspool.process.tally import TallyBook, follow, observe, take
-from berylspool.process.tuning import shared_tuning
 from berylspool.release import VERSION
 from berylspool.request.fanout import Pinned
 from berylspool.request.fingerprint import ticket
@@ -69,14 +69,14 @@
     pin_target,
     query_of,
 )
-from berylspool.version.pool import Transport
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     Blame,
     ErrorReply,
     Observed,
     RowsReply,
 )
-from berylspool.version.suspicion import Verdict
+from berylspool.version.pool.suspicion import Verdict
+from berylspool.version.pool.task import Transport
 
 __all__ = ["Forwarder"]
 
@@ -274,7 +274,7 @@
     async def _run(
         self, query: Query, pinned: Pinned, gone: asyncio.Event
     ) -> Outcome:
-        task = RequestTask(query, self.router, self._clock)
+        task = RequestTask(query, self.router.inbox, self._clock)
         watcher = asyncio.ensure_future(_watch(gone, task))
         self.in_flight += 1
         try:
--- a/berylspool/process/handover.py
+++ b/berylspool/process/entry/handover.py
@@ -4,8 +4,7 @@
 from dataclasses import dataclass, field
 
 from berylspool.connection.message import MemberTable
-from berylspool.process.routing_message import (
-    Origin,
+from berylspool.process.entry.routing_message import (
     PoolKey,
     RoutingAction,
     Sharing,
@@ -14,6 +13,7 @@
     TableDrained,
     ToPool,
 )
+from berylspool.request.part_message import Origin
 from berylspool.request.query import Part
 from berylspool.version.configuration import (
     Configuration,
@@ -21,7 +21,7 @@
     serving_upstreams,
 )
 from berylspool.version.placement import owners_after, owners_by_service
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     Blame,
     Closing,
     Leased,
--- a/berylspool/process/in_force.py
+++ b/berylspool/process/entry/in_force.py
@@ -4,9 +4,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from berylspool.common.current import Current
+from berylspool.common.event import Event, PlanRefused
 from berylspool.exception import ConfigurationError
-from berylspool.process.current import Current
-from berylspool.process.event import Event, PlanRefused
 from berylspool.process.settings import Settings
 from berylspool.version.configuration import Configuration, Document
 from berylspool.version.forwarding import ForwardPlan
--- a/berylspool/process/entry.py
+++ b/berylspool/process/entry/role.py
@@ -7,43 +7,43 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from berylspool.common.current import Current
+from berylspool.common.event import ProcessStarted, ProcessStopped
+from berylspool.common.metric import count, set_gauge
 from berylspool.connection.caller import CallerServer, EntryState
 from berylspool.connection.listen import listen
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError, UnknownRouteError
-from berylspool.process.control_client import (
+from berylspool.process.entry.control_client import (
     ControlClient,
     Drained,
     Leave,
-    LedgerAsked,
 )
-from berylspool.process.current import Current
-from berylspool.process.event import ProcessStarted, ProcessStopped
-from berylspool.process.lifetime import stop_event
-from berylspool.process.log import LogTask
-from berylspool.process.metric import count, set_gauge
-from berylspool.process.router import Router
-from berylspool.process.routing import Routing
-from berylspool.process.routing_message import (
+from berylspool.process.entry.router import Router
+from berylspool.process.entry.routing import Routing
+from berylspool.process.entry.routing_message import (
     ConfigurationChanged,
     LeaseSet,
     Sharing,
     ShuttingDown,
     TableChanged,
 )
+from berylspool.process.entry.tally import TallyBook, follow, observe, take
+from berylspool.process.entry.tuning import owner_tuning
+from berylspool.process.lifetime import stop_event
+from berylspool.process.log import LogTask
 from berylspool.process.settings import (
     Settings,
     split_address,
 )
-from berylspool.process.tally import TallyBook, follow, observe, take
-from berylspool.process.tuning import owner_tuning
 from berylspool.release import VERSION
 from berylspool.request.command import CommandTask
 from berylspool.request.fingerprint import ticket
+from berylspool.request.ledger import LedgerAsked
 from berylspool.request.query import Outcome, Query, Reason, Refusal
 from berylspool.request.serve import RequestTask
 from berylspool.version.configuration import Configuration, pin
-from berylspool.version.pool_message import Observed
+from berylspool.version.pool.message import Observed
 from berylspool.version.schema import to_configuration
 
 __all__ = ["Entry"]
@@ -121,7 +121,7 @@
             pinned = pin(configuration, query.route, number, self.book.blocked)
         except UnknownRouteError:
             return Refusal(query.id, Reason.UNKNOWN_ROUTE, True, 0.0)
-        request = RequestTask(query, self.router, self._clock)
+        request = RequestTask(query, self.router.inbox, self._clock)
         if query.key is not None:
             return await self._command(query, request).run(pinned)
         watcher = asyncio.ensure_future(_watch(gone, request))
--- a/berylspool/process/router.py
+++ b/berylspool/process/entry/router.py
@@ -2,10 +2,16 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from typing import Any
 
-from berylspool.connection.mailbox import Mailbox
+from berylspool.common.current import Current
+from berylspool.common.event import (
+    Event,
+    LinkChanged,
+    MembersChanged,
+    ServicePlaced,
+)
+from berylspool.common.mailbox import Mailbox
 from berylspool.connection.message import (
     AskPart,
     DropPart,
@@ -13,23 +19,14 @@
     peer_codec,
 )
 from berylspool.connection.peer import Link, LinkServer, Session
+from berylspool.connection.upstream import OwnProtocol
 from berylspool.exception import ProtocolError
-from berylspool.process.current import Current
-from berylspool.process.event import (
-    Event,
-    LinkChanged,
-    MembersChanged,
-    ServicePlaced,
-)
-from berylspool.process.routing import Routing, step
-from berylspool.process.routing_message import (
+from berylspool.process.entry.routing import Routing, step
+from berylspool.process.entry.routing_message import (
     BlameHeard,
     BlameRaised,
     LinkDown,
     LinkUp,
-    Origin,
-    PartDropped,
-    PartWanted,
     PoolDrained,
     PoolKey,
     ResultCame,
@@ -46,36 +43,28 @@
     ToPool,
     Woken,
 )
+from berylspool.request.part_message import (
+    Origin,
+    PartDropped,
+    PartWanted,
+    Subscribe,
+    Unsubscribe,
+)
 from berylspool.request.query import (
     PartFailed,
     PartRefused,
     PartResult,
     PartRows,
 )
-from berylspool.version.pool import OwnProtocol, PoolTask, Transport
-from berylspool.version.pool_message import Blame, Observed
-from berylspool.version.pool_state import Tuning
+from berylspool.version.pool.message import Blame, Observed
+from berylspool.version.pool.state import Tuning
+from berylspool.version.pool.task import PoolTask, Transport
 
 __all__ = ["Router"]
 
 HELD_WAKE_S = 0.02
 
 
-@dataclass(frozen=True, slots=True)
-class Subscribe:
-    """A request task wants the results of its parts."""
-
-    request_id: str
-    inbox: Mailbox[Any]
-
-
-@dataclass(frozen=True, slots=True)
-class Unsubscribe:
-    """A request task has ended."""
-
-    request_id: str
-
-
 RouterMessage = RoutingEvent | Subscribe | Unsubscribe
 
 
--- a/berylspool/process/routing.py
+++ b/berylspool/process/entry/routing.py
@@ -7,7 +7,7 @@
 """
 
 from berylspool.connection.message import AskPart, DropPart, MemberTable
-from berylspool.process.handover import (
+from berylspool.process.entry.handover import (
     Pending,
     Routing,
     close_moved,
@@ -19,16 +19,13 @@
     start_owned,
     start_pool,
 )
-from berylspool.process.routing_message import (
+from berylspool.process.entry.routing_message import (
     BlameHeard,
     BlameRaised,
     ConfigurationChanged,
     LeaseSet,
     LinkDown,
     LinkUp,
-    Origin,
-    PartDropped,
-    PartWanted,
     PoolDrained,
     ResultCame,
     RoutingAction,
@@ -42,6 +39,7 @@
     ToPool,
     Woken,
 )
+from berylspool.request.part_message import Origin, PartDropped, PartWanted
 from berylspool.request.query import (
     Part,
     PartFailed,
@@ -53,7 +51,7 @@
 from berylspool.version.configuration import (
     Configuration,
 )
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     Blame,
     Blamed,
     Leased,
--- a/berylspool/process/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -4,9 +4,10 @@
 from dataclasses import dataclass
 
 from berylspool.connection.message import AskPart, DropPart, MemberTable
-from berylspool.request.query import Part, PartResult
+from berylspool.request.part_message import Origin, PartDropped, PartWanted
+from berylspool.request.query import PartResult
 from berylspool.version.configuration import Configuration
-from berylspool.version.pool_message import Blame, PoolEvent
+from berylspool.version.pool.message import Blame, PoolEvent
 
 __all__ = [
     "BlameHeard",
@@ -15,9 +16,6 @@
     "LeaseSet",
     "LinkDown",
     "LinkUp",
-    "Origin",
-    "PartDropped",
-    "PartWanted",
     "PoolDrained",
     "PoolKey",
     "ResultCame",
@@ -47,40 +45,6 @@
     ALONE = "alone"
 
 
-@dataclass(frozen=True, slots=True)
-class Origin:
-    """Who asked for a part: a request here, or a peer's session.
-
-    Attributes:
-        id: Request id or session number, as text.
-        is_session: Whether it is a peer's session.
-    """
-
-    id: str
-    is_session: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class PartWanted:
-    """A request or a peer asks for a part."""
-
-    origin: Origin
-    part: Part
-
-
-@dataclass(frozen=True, slots=True)
-class PartDropped:
-    """A part is no longer wanted.
-
-    Attributes:
-        part_id: The part.
-        is_gone: Whether the caller has gone, so that the work must end.
-    """
-
-    part_id: str
-    is_gone: bool = False
-
-
 @dataclass(frozen=True, slots=True)
 class ResultCame:
     """A pool or a peer has the result of a part."""
--- a/berylspool/process/tally.py
+++ b/berylspool/process/entry/tally.py
@@ -14,7 +14,7 @@
 from berylspool.version import move as moves
 from berylspool.version.judge import histogram
 from berylspool.version.move import Move
-from berylspool.version.pool_message import Observed, OutrunReply, RowsReply
+from berylspool.version.pool.message import Observed, OutrunReply, RowsReply
 
 __all__ = ["TallyBook", "follow", "observe", "take"]
 
--- a/berylspool/process/tests/test_control_client.py
+++ b/berylspool/process/entry/tests/test_control_client.py
@@ -9,8 +9,11 @@
     NotLeader,
 )
 from berylspool.connection.message import Member
-from berylspool.process.control_client import ControlClient, From
-from berylspool.process.distribution import Distribution, configuration_since
+from berylspool.process.control.distribution import (
+    Distribution,
+    configuration_since,
+)
+from berylspool.process.entry.control_client import ControlClient, From
 from berylspool.process.settings import ControlSettings, Settings
 from berylspool.version.configuration import Configuration, Document
 
--- a/berylspool/process/tests/test_ownership.py
+++ b/berylspool/process/entry/tests/test_ownership.py
@@ -5,10 +5,11 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from berylspool.connection.message import Member, MemberTable
-from berylspool.process import handover, membership, routing
-from berylspool.process.membership import Heard, Led, Membership, Seated
-from berylspool.process.routing import Routing
-from berylspool.process.routing_message import (
+from berylspool.process.control import membership
+from berylspool.process.control.membership import Heard, Led, Membership, Seated
+from berylspool.process.entry import handover, routing
+from berylspool.process.entry.routing import Routing
+from berylspool.process.entry.routing_message import (
     ConfigurationChanged,
     LeaseSet,
     PoolDrained,
--- a/berylspool/process/tests/test_routing.py
+++ b/berylspool/process/entry/tests/test_routing.py
@@ -1,15 +1,13 @@
 """Routing of parts to owners: holds, losses and leases."""
 
 from berylspool.connection.message import AskPart, Member, MemberTable
-from berylspool.process.routing import Routing, owner, step
-from berylspool.process.routing_message import (
+from berylspool.process.entry.routing import Routing, owner, step
+from berylspool.process.entry.routing_message import (
     BlameRaised,
     ConfigurationChanged,
     LeaseSet,
     LinkDown,
     LinkUp,
-    Origin,
-    PartWanted,
     ResultCame,
     SessionClosed,
     TableChanged,
@@ -19,7 +17,11 @@
     ToPool,
     Woken,
 )
-from berylspool.process.tests.test_ownership import CONFIGURATION, SERVICES
+from berylspool.process.entry.tests.test_ownership import (
+    CONFIGURATION,
+    SERVICES,
+)
+from berylspool.request.part_message import Origin, PartWanted
 from berylspool.request.query import (
     Part,
     PartFailed,
@@ -28,8 +30,8 @@
     Reason,
     Snapshot,
 )
-from berylspool.version.pool_message import Blame, PartArrived, PartCancelled
-from berylspool.version.suspicion import Verdict
+from berylspool.version.pool.message import Blame, PartArrived, PartCancelled
+from berylspool.version.pool.suspicion import Verdict
 
 MEMBERS = {n: Member(n, "127.0.0.1", 1) for n in ("e1", "e2")}
 REQUEST = Origin("r1")
--- a/berylspool/process/tuning.py
+++ b/berylspool/process/entry/tuning.py
@@ -1,8 +1,8 @@
 """Tuning of an entry's pools, from its settings."""
 
 from berylspool.process.settings import RoutingSettings
-from berylspool.version.pool_state import Tuning
-from berylspool.version.upstream_view import (
+from berylspool.version.pool.state import Tuning
+from berylspool.version.pool.upstream_view import (
     Choice,
     FewestInFlight,
     LeastLoaded,
--- /dev/null
+++ b/berylspool/process/group/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated group of control nodes: consensus, disk and repair."""
--- a/berylspool/process/change.py
+++ b/berylspool/process/group/change.py
@@ -4,34 +4,35 @@
 here reads a clock: times travel in the changes.
 """
 
-import enum
 from dataclasses import dataclass, field, replace
 
-from berylspool.connection.frame import HEADER_BYTES, Codec
+from berylspool.common.frame import HEADER_BYTES, Codec
 from berylspool.connection.message import MemberTable
 from berylspool.exception import (
     BerylspoolError,
     CommandConflictError,
 )
+from berylspool.request.ledger import (
+    Intend,
+    LedgerDecision,
+    LedgerReply,
+    Settle,
+    SettleKind,
+)
 from berylspool.version.configuration import Configuration
 from berylspool.version.operation import (
     operation_codec,
 )
 from berylspool.version.revision import apply_all
+from berylspool.version.statement import CommandAnswer
 
 __all__ = [
     "Change",
-    "CommandAnswer",
     "Configure",
     "ControlState",
     "HistoryItem",
-    "Intend",
-    "LedgerDecision",
     "LedgerEntry",
-    "LedgerReply",
     "Seat",
-    "Settle",
-    "SettleKind",
     "apply_change",
     "change_codec",
     "decode_state",
@@ -64,41 +65,6 @@
     at: float
 
 
-@dataclass(frozen=True, slots=True)
-class Intend:
-    """State the intent to run a request that may not be repeated."""
-
-    key: str
-    fingerprint: str
-    request_id: str
-    at: float
-
-
-class SettleKind(enum.StrEnum):
-    """How a request that may not be repeated ended."""
-
-    ANSWERED = "answered"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class Settle:
-    """Record how a request ended.
-
-    Attributes:
-        key: Idempotency key.
-        request_id: Request that was granted.
-        kind: How it ended.
-        body: Encoded outcome, if it was answered.
-    """
-
-    key: str
-    request_id: str
-    kind: SettleKind
-    body: bytes = b""
-
-
 @dataclass(frozen=True, slots=True)
 class Seat:
     """Put a table of members in place."""
@@ -109,16 +75,6 @@
 Change = Configure | Intend | Settle | Seat
 
 
-class LedgerDecision(enum.StrEnum):
-    """What the ledger says to an intent."""
-
-    GRANTED = "granted"
-    RECORDED = "recorded"
-    UNKNOWN = "unknown"
-    KEY_REUSED = "key_reused"
-    SETTLED = "settled"
-
-
 @dataclass(frozen=True, slots=True)
 class LedgerEntry:
     """What is known of one key."""
@@ -130,40 +86,6 @@
     body: bytes = b""
 
 
-@dataclass(frozen=True, slots=True)
-class LedgerReply:
-    """Answer of the ledger.
-
-    Attributes:
-        request_id: Request that asked.
-        decision: What the ledger says.
-        body: Encoded outcome, if one is recorded.
-    """
-
-    request_id: str
-    decision: LedgerDecision
-    body: bytes = b""
-
-
-@dataclass(frozen=True, slots=True)
-class CommandAnswer:
-    """Answer to an operator's command.
-
-    Attributes:
-        command_id: Id of the command.
-        is_accepted: Whether the configuration has changed.
-        revision: Revision after the command.
-        error: Name of the error's type, or empty.
-        message: What went wrong, or empty.
-    """
-
-    command_id: str
-    is_accepted: bool
-    revision: int
-    error: str = ""
-    message: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class HistoryItem:
     """An accepted change: who, when, what."""
--- a/berylspool/process/consensus.py
+++ b/berylspool/process/group/consensus.py
@@ -10,7 +10,13 @@
 performs actions in order never acknowledges what is not durable.
 """
 
-from berylspool.process.consensus_message import (
+from berylspool.process.group.election import (
+    on_pre_vote,
+    on_vote,
+    on_vote_reply,
+    start_pre_vote,
+)
+from berylspool.process.group.message import (
     AppendRecords,
     AppendReply,
     ConsensusAction,
@@ -33,13 +39,7 @@
     Vote,
     VoteReply,
 )
-from berylspool.process.election import (
-    on_pre_vote,
-    on_vote,
-    on_vote_reply,
-    start_pre_vote,
-)
-from berylspool.process.node import (
+from berylspool.process.group.node import (
     Node,
     Progress,
     Role,
@@ -57,7 +57,7 @@
     reset_election,
     term_at,
 )
-from berylspool.process.replication import (
+from berylspool.process.group.replication import (
     advance_commit,
     append_own,
     heartbeat,
--- a/berylspool/process/election.py
+++ b/berylspool/process/group/election.py
@@ -3,7 +3,7 @@
 Reference: Ongaro 2014, sections 3.4 and 9.6; leader stickiness is in 4.2.3.
 """
 
-from berylspool.process.consensus_message import (
+from berylspool.process.group.message import (
     ConsensusAction,
     PreVote,
     PreVoteReply,
@@ -14,7 +14,7 @@
     Vote,
     VoteReply,
 )
-from berylspool.process.node import (
+from berylspool.process.group.node import (
     Node,
     Progress,
     Role,
@@ -25,7 +25,11 @@
     peers,
     reset_election,
 )
-from berylspool.process.replication import advance_commit, append_own, heartbeat
+from berylspool.process.group.replication import (
+    advance_commit,
+    append_own,
+    heartbeat,
+)
 
 __all__ = [
     "start_pre_vote",
--- a/berylspool/process/group_keeper.py
+++ b/berylspool/process/group/keeper.py
@@ -4,9 +4,9 @@
 
 from berylspool.connection.control_message import Announce, FoundingQuery
 from berylspool.connection.link_set import LinkSet
-from berylspool.process.consensus_message import Group
-from berylspool.process.repair import admitted, name_of, next_group
-from berylspool.process.replica import Replica
+from berylspool.process.group.message import Group
+from berylspool.process.group.repair import admitted, name_of, next_group
+from berylspool.process.group.replica import Replica
 
 __all__ = ["GroupKeeper"]
 
--- a/berylspool/process/consensus_message.py
+++ b/berylspool/process/group/message.py
@@ -3,7 +3,10 @@
 import enum
 from dataclasses import dataclass
 
+from berylspool.common.frame import Codec
+
 __all__ = [
+    "consensus_codec",
     "AppendRecords",
     "AppendReply",
     "AppendToLog",
@@ -304,3 +307,18 @@
     | Rejected
     | RoleChanged
 )
+
+
+def consensus_codec() -> Codec:
+    """Return the codec of consensus messages."""
+    return Codec(
+        [
+            PreVote,
+            PreVoteReply,
+            Vote,
+            VoteReply,
+            AppendRecords,
+            AppendReply,
+            InstallSnapshot,
+        ]
+    )
--- a/berylspool/process/node.py
+++ b/berylspool/process/group/node.py
@@ -5,7 +5,7 @@
 
 import msgpack
 
-from berylspool.process.consensus_message import (
+from berylspool.process.group.message import (
     ConsensusAction,
     Group,
     Record,
--- a/berylspool/process/repair.py
+++ b/berylspool/process/group/repair.py
@@ -8,8 +8,8 @@
 
 from collections.abc import Mapping
 
-from berylspool.process.consensus import Node, is_caught_up
-from berylspool.process.consensus_message import Group
+from berylspool.process.group.consensus import Node, is_caught_up
+from berylspool.process.group.message import Group
 
 __all__ = ["admitted", "name_of", "next_group"]
 
--- a/berylspool/process/replica.py
+++ b/berylspool/process/group/replica.py
@@ -6,19 +6,17 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from berylspool.connection.frame import HEADER_BYTES
-from berylspool.process import consensus
-from berylspool.process.change import (
+from berylspool.common.frame import HEADER_BYTES
+from berylspool.process.group import consensus
+from berylspool.process.group.change import (
     Change,
-    CommandAnswer,
     ControlState,
-    LedgerReply,
     apply_change,
     change_codec,
     decode_state,
     encode_state,
 )
-from berylspool.process.consensus_message import (
+from berylspool.process.group.message import (
     AppendToLog,
     Apply,
     ConsensusAction,
@@ -35,10 +33,12 @@
     Snapshot,
     SnapshotTaken,
 )
-from berylspool.process.node import term_at
-from berylspool.process.repair import name_of
-from berylspool.process.storage import Storage
+from berylspool.process.group.node import term_at
+from berylspool.process.group.repair import name_of
+from berylspool.process.group.storage import Storage
+from berylspool.request.ledger import LedgerReply
 from berylspool.version.configuration import Configuration
+from berylspool.version.statement import CommandAnswer
 
 __all__ = ["Applied", "Installed", "Replica", "ReplicaOutput", "Result"]
 
--- a/berylspool/process/replication.py
+++ b/berylspool/process/group/replication.py
@@ -4,7 +4,7 @@
 term by counting (section 3.6.2).
 """
 
-from berylspool.process.consensus_message import (
+from berylspool.process.group.message import (
     AppendRecords,
     AppendReply,
     AppendToLog,
@@ -16,7 +16,7 @@
     SaveSnapshot,
     SendTo,
 )
-from berylspool.process.node import (
+from berylspool.process.group.node import (
     Node,
     Role,
     follow,
--- a/berylspool/process/storage.py
+++ b/berylspool/process/group/storage.py
@@ -17,8 +17,8 @@
 import xxhash
 
 from berylspool.exception import CorruptLogError, StorageError
-from berylspool.process.consensus import decode_group, encode_group
-from berylspool.process.consensus_message import Record, RecordKind, Snapshot
+from berylspool.process.group.consensus import decode_group, encode_group
+from berylspool.process.group.message import Record, RecordKind, Snapshot
 
 __all__ = ["Recovered", "Storage"]
 
--- a/berylspool/process/tests/consensus_machine.py
+++ b/berylspool/process/group/tests/consensus_machine.py
@@ -5,8 +5,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from berylspool.process import consensus
-from berylspool.process.consensus_message import (
+from berylspool.process.group import consensus
+from berylspool.process.group.message import (
     AppendToLog,
     Apply,
     Group,
--- a/berylspool/process/tests/test_change.py
+++ b/berylspool/process/group/tests/test_change.py
@@ -4,19 +4,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from berylspool.connection.frame import HEADER_BYTES
-from berylspool.process import change
-from berylspool.process.change import (
+from berylspool.common.frame import HEADER_BYTES
+from berylspool.process.group import change
+from berylspool.process.group.change import (
     Configure,
     ControlState,
-    Intend,
-    LedgerDecision,
-    Settle,
-    SettleKind,
     apply_change,
     decode_state,
     encode_state,
 )
+from berylspool.request.ledger import Intend, LedgerDecision, Settle, SettleKind
 from berylspool.tests.planted import is_caught
 from berylspool.version.configuration import ZoneState
 from berylspool.version.operation import (
--- a/berylspool/process/tests/test_consensus.py
+++ b/berylspool/process/group/tests/test_consensus.py
@@ -4,10 +4,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
-from berylspool.process import consensus, election, replication
-from berylspool.process import node as node_module
-from berylspool.process.consensus import Node, Role, Timing, step
-from berylspool.process.consensus_message import (
+from berylspool.process.group import consensus, election, replication
+from berylspool.process.group import node as node_module
+from berylspool.process.group.consensus import Node, Role, Timing, step
+from berylspool.process.group.message import (
     AppendRecords,
     AppendReply,
     AppendToLog,
@@ -27,8 +27,8 @@
     Vote,
     VoteReply,
 )
-from berylspool.process.node import term_at
-from berylspool.process.tests.consensus_machine import (
+from berylspool.process.group.node import term_at
+from berylspool.process.group.tests.consensus_machine import (
     NAMES,
     ConsensusMachine,
     Disk,
--- a/berylspool/process/tests/test_repair.py
+++ b/berylspool/process/group/tests/test_repair.py
@@ -2,11 +2,11 @@
 
 from types import SimpleNamespace
 
-from berylspool.process.consensus import Node, Role, Timing
-from berylspool.process.consensus_message import Group
-from berylspool.process.group_keeper import UNHEARD_S, GroupKeeper
-from berylspool.process.node import Progress
-from berylspool.process.repair import (
+from berylspool.process.group.consensus import Node, Role, Timing
+from berylspool.process.group.keeper import UNHEARD_S, GroupKeeper
+from berylspool.process.group.message import Group
+from berylspool.process.group.node import Progress
+from berylspool.process.group.repair import (
     FORGET_AFTER_S,
     REPLACE_AFTER_S,
     admitted,
--- a/berylspool/process/tests/test_replica.py
+++ b/berylspool/process/group/tests/test_replica.py
@@ -3,17 +3,17 @@
 import asyncio
 import time
 
-from berylspool.connection.frame import HEADER_BYTES
-from berylspool.process.change import Configure
-from berylspool.process.consensus import step
-from berylspool.process.consensus_message import (
+from berylspool.common.frame import HEADER_BYTES
+from berylspool.process.group.change import Configure
+from berylspool.process.group.consensus import step
+from berylspool.process.group.message import (
     AppendReply,
     Received,
     Ticked,
 )
-from berylspool.process.replica import COMPACT_BYTES, Replica
-from berylspool.process.storage import Storage
-from berylspool.process.tests.test_consensus import make_leader
+from berylspool.process.group.replica import COMPACT_BYTES, Replica
+from berylspool.process.group.storage import Storage
+from berylspool.process.group.tests.test_consensus import make_leader
 from berylspool.version.operation import operation_codec
 
 NOW = 2.3
--- a/berylspool/process/tests/test_storage.py
+++ b/berylspool/process/group/tests/test_storage.py
@@ -7,13 +7,13 @@
 from hypothesis import strategies as st
 
 from berylspool.exception import CorruptLogError, StorageError
-from berylspool.process.consensus_message import (
+from berylspool.process.group.message import (
     Group,
     Record,
     RecordKind,
     Snapshot,
 )
-from berylspool.process.storage import LOG_MAGIC, Storage
+from berylspool.process.group.storage import LOG_MAGIC, Storage
 
 
 def record(index, term=1, size=10):
--- a/berylspool/process/log.py
+++ b/berylspool/process/log.py
@@ -10,8 +10,8 @@
 import eliot
 import orjson
 
-from berylspool.connection.mailbox import Mailbox
-from berylspool.process.event import Event, LinesDropped
+from berylspool.common.event import Event, LinesDropped
+from berylspool.common.mailbox import Mailbox
 
 __all__ = ["LogTask", "open_log", "open_standard_output"]
 
--- a/berylspool/request/command.py
+++ b/berylspool/request/command.py
@@ -7,18 +7,18 @@
 import time
 from collections.abc import Callable
 
-from berylspool.connection.mailbox import Mailbox
-from berylspool.connection.outcome import decode_answer, encode_answer
-from berylspool.process.change import (
+from berylspool.common.event import CommandDecided, Event
+from berylspool.common.mailbox import Mailbox
+from berylspool.request.fanout import Pinned
+from berylspool.request.ledger import (
     Intend,
+    LedgerAsked,
     LedgerDecision,
     LedgerReply,
     Settle,
     SettleKind,
 )
-from berylspool.process.control_client import LedgerAsked
-from berylspool.process.event import CommandDecided, Event
-from berylspool.request.fanout import Pinned
+from berylspool.request.outcome import decode_answer, encode_answer
 from berylspool.request.query import (
     Answer,
     Outcome,
--- a/berylspool/connection/outcome.py
+++ b/berylspool/request/outcome.py
@@ -3,7 +3,7 @@
 import msgpack
 from pydantic import TypeAdapter
 
-from berylspool.connection.frame import fields_of
+from berylspool.common.frame import fields_of
 from berylspool.request.query import Answer
 
 __all__ = ["decode_answer", "encode_answer"]
--- a/berylspool/request/serve.py
+++ b/berylspool/request/serve.py
@@ -3,13 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from berylspool.connection.mailbox import Mailbox
-from berylspool.process.router import Router, Subscribe, Unsubscribe
-from berylspool.process.routing_message import (
-    Origin,
-    PartDropped,
-    PartWanted,
-)
+from berylspool.common.mailbox import Mailbox
 from berylspool.request.fanout import (
     CallerGone,
     CancelPart,
@@ -23,6 +17,13 @@
     start,
     step,
 )
+from berylspool.request.part_message import (
+    Origin,
+    PartDropped,
+    PartWanted,
+    Subscribe,
+    Unsubscribe,
+)
 from berylspool.request.query import Outcome, Query
 
 __all__ = ["RequestTask"]
@@ -33,12 +34,12 @@
 
     Args:
         query: The validated request.
-        router: Router task of the process.
+        router: Mailbox of the router of the entry.
         clock: Monotonic time in seconds.
     """
 
     def __init__(
-        self, query: Query, router: Router, clock: Callable[[], float]
+        self, query: Query, router: Mailbox[Any], clock: Callable[[], float]
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
         self._query = query
@@ -59,7 +60,7 @@
             An answer or a refusal, no later than the deadline.
         """
         query, router = self._query, self._router
-        router.inbox.put(Subscribe(query.id, self.inbox))
+        router.put(Subscribe(query.id, self.inbox))
         try:
             state, actions = start(query, pinned, self._clock())
             outcome = self._perform(actions)
@@ -68,7 +69,7 @@
                 outcome = self._apply(state, events or [self._timed_out()])
             return outcome
         finally:
-            router.inbox.put(Unsubscribe(query.id))
+            router.put(Unsubscribe(query.id))
 
     def _pause_s(self) -> float:
         """Return the time until the target or the deadline, in seconds."""
@@ -96,9 +97,9 @@
         for action in actions:
             match action:
                 case SendPart(part=part):
-                    self._router.inbox.put(PartWanted(origin, part))
+                    self._router.put(PartWanted(origin, part))
                 case CancelPart(part=part, is_gone=is_gone):
-                    self._router.inbox.put(PartDropped(part.id, is_gone))
+                    self._router.put(PartDropped(part.id, is_gone))
                 case Finish(outcome=outcome):
                     return outcome
         return None
--- a/berylspool/tests/cluster.py
+++ b/berylspool/tests/cluster.py
@@ -9,11 +9,11 @@
 import orjson
 
 from berylspool.connection.http import connect
-from berylspool.process.control import Control
-from berylspool.process.entry import Entry
-from berylspool.process.operator import STATUS_ELSEWHERE
+from berylspool.process.control.role import Control
+from berylspool.process.entry.role import Entry
 from berylspool.process.settings import Settings, split_address
-from berylspool.process.standin import standins_of
+from berylspool.tool.operator import STATUS_ELSEWHERE
+from berylspool.tool.standin import standins_of
 from berylspool.version.schema import to_configuration
 
 __all__ = ["Cluster", "cluster", "post"]
--- a/berylspool/tests/test_pages.py
+++ b/berylspool/tests/test_pages.py
@@ -6,14 +6,14 @@
 
 import yaml
 
+from berylspool.common.event import catalogue
+from berylspool.common.metric import HELP_BY_NAME
 from berylspool.connection.caller import (
     ROUTES,
     STATUS_BY_REASON,
     CommandBody,
     QueryBody,
 )
-from berylspool.process.event import catalogue
-from berylspool.process.metric import HELP_BY_NAME
 from berylspool.request.query import Reason
 
 ROOT = Path(__file__).parents[2]
@@ -72,9 +72,10 @@
 
 def test_design_page_maps_every_module():
     page = (DOCS / "DESIGN.md").read_text()
-    for folder in ("request", "connection", "version", "process"):
-        for path in (ROOT / "berylspool" / folder).glob("*.py"):
-            if path.stem != "__init__":
+    folders = ("common", "request", "version", "connection", "process", "tool")
+    for folder in folders:
+        for path in (ROOT / "berylspool" / folder).rglob("*.py"):
+            if path.stem != "__init__" and "tests" not in path.parts:
                 assert f"`{path.stem}`" in page, path
 
 
@@ -91,3 +92,14 @@
         event = next(c for c in catalogue().values() if c.__name__ == fields[0])
         slots = {field.name for field in dataclasses.fields(event)}
         assert set(re.findall(r"(?:^| )(\w+)=", fields[1])) <= slots
+
+
+def test_the_way_of_a_query_names_modules_that_exist():
+    page = (DOCS / "DESIGN.md").read_text()
+    way = page.partition("**The way of one query.**")[2].partition("**Tasks.")[
+        0
+    ]
+    named = re.findall(r"`([a-z_]+(?:/[a-z_]+)+)`", way)
+    assert len(named) >= 10
+    for module in named:
+        assert (ROOT / "berylspool" / f"{module}.py").is_file(), module
--- a/berylspool/tests/test_whole_path.py
+++ b/berylspool/tests/test_whole_path.py
@@ -6,7 +6,7 @@
 import pytest
 
 from berylspool.exception import ConnectionLostError, ListenError
-from berylspool.process.entry import Entry
+from berylspool.process.entry.role import Entry
 from berylspool.tests.cluster import cluster, post
 
 
--- /dev/null
+++ b/berylspool/tool/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for people: command line, operators, stand-in, load, logs."""
--- a/berylspool/process/cli.py
+++ b/berylspool/tool/cli.py
@@ -15,25 +15,25 @@
 from rich.table import Table
 
 from berylspool.exception import BerylspoolError
-from berylspool.process.control import Control
-from berylspool.process.entry import Entry
-from berylspool.process.explain import explain
-from berylspool.process.load import LoadPlan, run_load, summary
+from berylspool.process.control.role import Control
+from berylspool.process.entry.role import Entry
 from berylspool.process.log import open_log
-from berylspool.process.operator import (
-    OperatorClient,
-    Options,
-    interact,
-    print_answer,
-    run_with_progress,
-)
 from berylspool.process.settings import (
     Settings,
     load_settings,
     split_address,
 )
-from berylspool.process.standin import recorder, serve, standins_of
 from berylspool.release import VERSION
+from berylspool.tool.explain import explain
+from berylspool.tool.load import LoadPlan, run_load, summary
+from berylspool.tool.operator import (
+    OperatorClient,
+    Options,
+    interact,
+    print_answer,
+    run_with_progress,
+)
+from berylspool.tool.standin import recorder, serve, standins_of
 from berylspool.version.schema import to_configuration
 
 __all__ = ["app", "main"]
--- a/berylspool/process/tests/test_explain.py
+++ b/berylspool/tool/tests/test_explain.py
@@ -2,8 +2,8 @@
 
 import orjson
 
-from berylspool.process.event import LinesDropped, PartChosen, RequestEnded
-from berylspool.process.explain import explain
+from berylspool.common.event import LinesDropped, PartChosen, RequestEnded
+from berylspool.tool.explain import explain
 
 
 def line(event, at):
--- a/berylspool/version/operation.py
+++ b/berylspool/version/operation.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from berylspool.connection.frame import Codec
+from berylspool.common.frame import Codec
 from berylspool.version.configuration import (
     Configuration,
     Document,
--- /dev/null
+++ b/berylspool/version/pool/__init__.py
@@ -0,0 +1,1 @@
+"""The pool of one service at one version: its decisions and its task."""
--- a/berylspool/version/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -10,12 +10,12 @@
 import heapq
 
 from berylspool.request.query import Part, PartRefused, Reason
-from berylspool.version.attempt import (
+from berylspool.version.pool.attempt import (
     on_attempt_answered,
     retire_silent,
 )
-from berylspool.version.cold_rate import next_at, note_send
-from berylspool.version.pool_message import (
+from berylspool.version.pool.cold_rate import next_at, note_send
+from berylspool.version.pool.message import (
     AttemptAnswered,
     Blamed,
     Changed,
@@ -35,7 +35,12 @@
     TimerKind,
     Woken,
 )
-from berylspool.version.pool_state import (
+from berylspool.version.pool.ramp import (
+    allowed_slots,
+    is_warm,
+    on_instance,
+)
+from berylspool.version.pool.state import (
     Attempt,
     Job,
     Pool,
@@ -46,20 +51,15 @@
     retry_after_s,
     set_timer,
 )
-from berylspool.version.ramp import (
-    allowed_slots,
-    is_warm,
-    on_instance,
-)
-from berylspool.version.suspicion import (
+from berylspool.version.pool.suspicion import (
     Verdict,
     blame,
     expire,
     is_convicted,
     is_suspect,
 )
-from berylspool.version.tail import deposit, withdraw
-from berylspool.version.upkeep import (
+from berylspool.version.pool.tail import deposit, withdraw
+from berylspool.version.pool.upkeep import (
     drop_unused,
     on_closed,
     on_opened,
@@ -67,7 +67,7 @@
     open_on_demand,
     reconfigure,
 )
-from berylspool.version.upstream_view import (
+from berylspool.version.pool.upstream_view import (
     ConnectionState,
     UpstreamView,
     choose,
--- a/berylspool/version/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -1,7 +1,7 @@
 """Decisions of a pool about attempts that end: answered, lost or silent."""
 
 from berylspool.request.query import PartFailed, PartRows, Reason
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     AttemptAnswered,
     Blame,
     CancelAttempt,
@@ -16,7 +16,14 @@
     TimerKind,
     UpstreamReply,
 )
-from berylspool.version.pool_state import (
+from berylspool.version.pool.ramp import (
+    SHED_BACKOFF_S,
+    is_warm,
+    on_answer,
+    on_cold,
+    on_instance,
+)
+from berylspool.version.pool.state import (
     Attempt,
     Job,
     Pool,
@@ -26,16 +33,14 @@
     resolve,
     set_timer,
 )
-from berylspool.version.ramp import (
-    SHED_BACKOFF_S,
-    is_warm,
-    on_answer,
-    on_cold,
-    on_instance,
+from berylspool.version.pool.suspicion import (
+    Verdict,
+    blame,
+    clear,
+    is_convicted,
 )
-from berylspool.version.suspicion import Verdict, blame, clear, is_convicted
-from berylspool.version.tail import observe, withdraw
-from berylspool.version.upstream_view import ConnectionState, UpstreamView
+from berylspool.version.pool.tail import observe, withdraw
+from berylspool.version.pool.upstream_view import ConnectionState, UpstreamView
 
 __all__ = ["on_attempt_answered", "on_attempt_lost", "retire_silent"]
 
--- a/berylspool/version/pool_message.py
+++ b/berylspool/version/pool/message.py
@@ -12,7 +12,7 @@
     UpstreamResponse,
 )
 from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.suspicion import Verdict
+from berylspool.version.pool.suspicion import Verdict
 
 __all__ = [
     "AttemptAnswered",
@@ -41,6 +41,7 @@
     "ReportedLoad",
     "RowsReply",
     "Send",
+    "Shut",
     "Silent",
     "TimerKind",
     "UpstreamReply",
@@ -328,3 +329,8 @@
     | Changed
     | Observed
 )
+
+
+@dataclass(frozen=True, slots=True)
+class Shut:
+    """Close the connection and end the task."""
--- a/berylspool/version/pool_state.py
+++ b/berylspool/version/pool/state.py
@@ -11,15 +11,15 @@
     Reason,
     UpstreamResponse,
 )
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     CancelAttempt,
     PoolAction,
     Reply,
     TimerKind,
 )
-from berylspool.version.suspicion import Suspicion, is_convicted
-from berylspool.version.tail import Budget, HedgeDelay
-from berylspool.version.upstream_view import (
+from berylspool.version.pool.suspicion import Suspicion, is_convicted
+from berylspool.version.pool.tail import Budget, HedgeDelay
+from berylspool.version.pool.upstream_view import (
     Choice,
     ConnectionState,
     UpstreamView,
--- a/berylspool/version/pool.py
+++ b/berylspool/version/pool/task.py
@@ -4,25 +4,18 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from berylspool.connection.mailbox import Mailbox
-from berylspool.connection.upstream import (
-    Cancel,
-    Shut,
-    UpstreamConnection,
-    UpstreamWatch,
-)
-from berylspool.connection.wire import attempt_name
-from berylspool.process.event import (
+from berylspool.common.event import (
     Event,
     PartChosen,
     RequestBlamed,
     SilentReplaced,
     UpstreamChanged,
 )
+from berylspool.common.mailbox import Mailbox
 from berylspool.request.query import PartResult
-from berylspool.version.admission import next_wake, step
 from berylspool.version.configuration import Upstream
-from berylspool.version.pool_message import (
+from berylspool.version.pool.admission import next_wake, step
+from berylspool.version.pool.message import (
     Blame,
     CancelAttempt,
     Changed,
@@ -34,12 +27,13 @@
     PoolEvent,
     Reply,
     Send,
+    Shut,
     Silent,
     Woken,
 )
-from berylspool.version.pool_state import Pool, Tuning
+from berylspool.version.pool.state import Pool, Tuning
 
-__all__ = ["OwnProtocol", "PoolTask", "Transport"]
+__all__ = ["ConnectionTask", "PoolTask", "Transport"]
 
 
 class ConnectionTask(Protocol):
@@ -73,33 +67,6 @@
         """End an attempt whose answer is no longer wanted."""
 
 
-class OwnProtocol:
-    """Transport to upstreams that keep the contract of docs/UPSTREAM.md."""
-
-    def connection(
-        self, connection_id: int, upstream: Upstream, pool: Mailbox[PoolEvent]
-    ) -> ConnectionTask:
-        """Return the task of a new connection."""
-        return UpstreamConnection(connection_id, upstream, pool)
-
-    def watch(
-        self, upstream: Upstream, pool: Mailbox[PoolEvent]
-    ) -> ConnectionTask | None:
-        """Return the task for health and cancellation."""
-        return UpstreamWatch(upstream, pool)
-
-    def cancel(
-        self,
-        action: CancelAttempt,
-        connection: ConnectionTask | None,
-        watch: ConnectionTask | None,
-    ) -> None:
-        """Tell the upstream on the connection that watches it."""
-        if watch is not None:
-            name = attempt_name(action.part_id, action.attempt_id)
-            watch.inbox.put(Cancel(name))
-
-
 class PoolTask:
     """Task that owns one pool.
 
--- a/berylspool/version/tests/test_admission.py
+++ b/berylspool/version/pool/tests/test_admission.py
@@ -13,16 +13,16 @@
     Snapshot,
 )
 from berylspool.tests.planted import is_caught
-from berylspool.version import (
+from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.pool import (
     admission,
-    pool_state,
     upkeep,
     upstream_view,
 )
-from berylspool.version import attempt as attempt_module
-from berylspool.version.admission import step
-from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.pool_message import (
+from berylspool.version.pool import attempt as attempt_module
+from berylspool.version.pool import state as pool_state
+from berylspool.version.pool.admission import step
+from berylspool.version.pool.message import (
     AttemptAnswered,
     Blamed,
     CancelAttempt,
@@ -43,9 +43,9 @@
     UpstreamReply,
     Woken,
 )
-from berylspool.version.pool_state import Pool, Tuning
-from berylspool.version.suspicion import Verdict
-from berylspool.version.upstream_view import ZoneAware
+from berylspool.version.pool.state import Pool, Tuning
+from berylspool.version.pool.suspicion import Verdict
+from berylspool.version.pool.upstream_view import ZoneAware
 
 SNAPSHOT = Snapshot("v1", 1)
 LIMITS = Limits(slots=3, connections=6, cold_slots=1, ramp_s=2.0)
--- a/berylspool/version/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -3,7 +3,6 @@
 import pytest
 
 from berylspool.request.query import Forward, Part, Reason, Snapshot
-from berylspool.version.admission import step
 from berylspool.version.configuration import (
     Configuration,
     Limits,
@@ -20,7 +19,8 @@
     cold_rate,
     difference,
 )
-from berylspool.version.pool_message import (
+from berylspool.version.pool.admission import step
+from berylspool.version.pool.message import (
     AttemptAnswered,
     CancelAttempt,
     Connect,
@@ -37,8 +37,8 @@
     Send,
     Woken,
 )
-from berylspool.version.pool_state import Pool, Tuning
-from berylspool.version.upstream_view import LeastLoaded
+from berylspool.version.pool.state import Pool, Tuning
+from berylspool.version.pool.upstream_view import LeastLoaded
 
 SNAPSHOT = Snapshot("", 1)
 NEAR = Upstream("near", "10.0.0.1", 1, "z0", "")
--- a/berylspool/version/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -1,9 +1,9 @@
 """Upkeep of a pool's upstreams and of the connections to them."""
 
-from berylspool.version.attempt import on_attempt_lost
-from berylspool.version.cold_rate import LISTING_LAG_S, chill
 from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.pool_message import (
+from berylspool.version.pool.attempt import on_attempt_lost
+from berylspool.version.pool.cold_rate import LISTING_LAG_S, chill
+from berylspool.version.pool.message import (
     Changed,
     Connect,
     ConnectionClosed,
@@ -11,10 +11,10 @@
     Disconnect,
     PoolAction,
 )
-from berylspool.version.pool_state import Pool
-from berylspool.version.ramp import doubt, on_instance
-from berylspool.version.tail import cap
-from berylspool.version.upstream_view import (
+from berylspool.version.pool.ramp import doubt, on_instance
+from berylspool.version.pool.state import Pool
+from berylspool.version.pool.tail import cap
+from berylspool.version.pool.upstream_view import (
     ConnectionState,
     ConnectionView,
     UpstreamView,
--- a/berylspool/version/statement.py
+++ b/berylspool/version/statement.py
@@ -63,3 +63,22 @@
 Command = (
     Show | ChangeConfiguration | AddControl | ReplaceControl | RemoveControl
 )
+
+
+@dataclass(frozen=True, slots=True)
+class CommandAnswer:
+    """Answer to an operator's command.
+
+    Attributes:
+        command_id: Id of the command.
+        is_accepted: Whether the configuration has changed.
+        revision: Revision after the command.
+        error: Name of the error's type, or empty.
+        message: What went wrong, or empty.
+    """
+
+    command_id: str
+    is_accepted: bool
+    revision: int
+    error: str = ""
+    message: str = ""
--- a/berylspool/version/tests/test_move.py
+++ b/berylspool/version/tests/test_move.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from berylspool.exception import CommandError
-from berylspool.process.tally import TallyBook, follow, observe, take
+from berylspool.process.entry.tally import TallyBook, follow, observe, take
 from berylspool.request.query import Part, Reason, Snapshot
 from berylspool.version import move as moves
 from berylspool.version.configuration import (
@@ -41,7 +41,7 @@
     StartMove,
     TakeBackMove,
 )
-from berylspool.version.pool_message import (
+from berylspool.version.pool.message import (
     ErrorReply,
     Observed,
     OutrunReply,
