--- a/berylspool/process/log.py
+++ b/berylspool/process/log.py
@@ -1,7 +1,6 @@
 """The log task: it alone writes log lines, away from the answering path."""
 
 import dataclasses
-import functools
 import os
 import sys
 import time
@@ -89,9 +88,8 @@
             self._untold = 0
         for event in events:
             # `asdict` would copy every value, at twice the cost of the line.
-            fields = {
-                name: getattr(event, name) for name in _names(type(event))
-            }
+            names = [field.name for field in dataclasses.fields(event)]
+            fields = {name: getattr(event, name) for name in names}
             fields["event"] = event.number
             eliot.log_message(message_type=type(event).__name__, **fields)
         if self._output is not None:
@@ -105,12 +103,6 @@
 PART_CHOSEN = 2001
 
 
-@functools.cache
-def _names(kind: Any) -> tuple[str, ...]:
-    """Return the names of the fields of a class of events."""
-    return tuple(field.name for field in dataclasses.fields(kind))
-
-
 def open_log(path: str) -> None:
     """Send all log lines to a file, or to standard error for `-`.
 
