Pools at rest sleep, and ended parts leave no timers behind

Cause: each pool woke four times a second, and once more for the hedge and the deadline of each part that had long ended: at 92 services 370 wake-ups a second of an entry without a request. The timer of silent connections, an hour ahead where upstreams are shared, kept a record of every part for as long: a leak of an hour's parts.

Ruled out: the links to control, eight wake-ups a second.

Change: a pool sleeps 5 s unless something in it changes with time, drops the next timers of parts that have ended, and sets none for silence where upstreams are shared.

Two tests, one of which fails before.

--- a/berylspool/process/entry/tuning.py
+++ b/berylspool/process/entry/tuning.py
@@ -14,8 +14,6 @@
 
 # Restarts must not mint copies: the rest is saved up from requests.
 FIRST_TOKENS = 1.0
-# A connection owes its answer until the deadline; hedges cover a silent one.
-NEVER_S = 3600.0
 
 
 def owner_tuning(settings: RoutingSettings, zone: str) -> Tuning:
@@ -45,7 +43,8 @@
         extra_ratio=settings.extra_ratio,
         first_tokens=FIRST_TOKENS,
         queue_limit=settings.queue_limit,
-        silent_s=NEVER_S,
+        # Hedges cover a silent connection until the deadline.
+        silent_s=None,
         wait_share=settings.wait_share,
         opens_on_demand=True,
         isolates_suspects=False,
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -78,6 +78,10 @@
 __all__ = ["next_wake", "step"]
 
 SCAN_LIMIT = 16
+# Ramps and upstreams that leave change with time alone.
+BUSY_WAKE_S = 0.25
+# A pool at rest has nothing to do; verdicts against requests are kept longer.
+REST_WAKE_S = 5.0
 CONNECTION_EVENTS = (ConnectionClosed, HealthReported, Reconfigured, Woken)
 
 
@@ -128,7 +132,8 @@
 
 def next_wake(pool: Pool, now: float) -> float:
     """Return how long the pool's task may sleep, in seconds."""
-    moments = [now + 0.25]
+    moments = [now + (REST_WAKE_S if _is_at_rest(pool) else BUSY_WAKE_S)]
+    _drop_timers_of_ended(pool)
     if pool.timers:
         moments.append(pool.timers[0][0])
     moments.extend(
@@ -150,6 +155,28 @@
     return max(0.0, min(moments) - now)
 
 
+def _is_at_rest(pool: Pool) -> bool:
+    """Return whether nothing but messages and timers can change the pool."""
+    return (
+        not pool.waiting
+        and not pool.suspicion.blamed_at
+        and all(view.is_serving for view in pool.view_by_upstream.values())
+    )
+
+
+def _drop_timers_of_ended(pool: Pool) -> None:
+    """Drop the next timers as long as their parts have ended.
+
+    Most parts end before their hedge and their deadline; a wake-up for each
+    of those would cost as much as the part.
+    """
+    while pool.timers:
+        _, _, part_id, kind = pool.timers[0]
+        if kind is TimerKind.SILENT or part_id in pool.job_by_part:
+            return
+        heapq.heappop(pool.timers)
+
+
 def _arrive(pool: Pool, part: Part, now: float) -> list[PoolAction]:
     if part.id in pool.job_by_part:
         return []
@@ -333,8 +360,9 @@
     job.sends += 1
     moment = now + hedge_delay_s(pool, job)
     set_timer(pool, moment, job.part.id, TimerKind.HEDGE)
-    silent_at = now + pool.tuning.silent_s
-    set_timer(pool, silent_at, str(attempt.id), TimerKind.SILENT)
+    if pool.tuning.silent_s is not None:
+        silent_at = now + pool.tuning.silent_s
+        set_timer(pool, silent_at, str(attempt.id), TimerKind.SILENT)
     timeout_s = job.deadline - now
     return [
         Send(connection.id, attempt.id, job.part, timeout_s),
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -59,7 +59,8 @@
         extra_ratio: Extra copies allowed for each first copy.
         queue_limit: Most parts that wait in one pool.
         silent_s: Age of the oldest owed answer at which a connection is
-            taken for silent, in seconds.
+            taken for silent, in seconds; None if it owes its answer until
+            the deadline.
         wait_share: Share of a part's time that it may be expected to wait.
         opens_on_demand: Whether connections are opened for parts that wait,
             rather than one for each slot in advance.
@@ -76,7 +77,7 @@
     hedge_percentile: float = 96.0
     extra_ratio: float = 0.05
     queue_limit: int = 256
-    silent_s: float = 1.0
+    silent_s: float | None = 1.0
     wait_share: float = 0.7
     opens_on_demand: bool = False
     isolates_suspects: bool = True
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -19,7 +19,7 @@
     cold_rate,
     difference,
 )
-from berylspool.version.pool.admission import step
+from berylspool.version.pool.admission import next_wake, step
 from berylspool.version.pool.message import (
     AttemptAnswered,
     CancelAttempt,
@@ -46,7 +46,7 @@
 TUNING = Tuning(
     LeastLoaded("z0", 0.9),
     extra_ratio=0.18,
-    silent_s=1e9,
+    silent_s=None,
     opens_on_demand=True,
     isolates_suspects=False,
     counts_refusals=True,
@@ -308,3 +308,24 @@
         for start in moments
     )
     assert 0 < most <= per_s * 1.5 + 5
+
+
+def test_a_pool_at_rest_sleeps_and_keeps_nothing_of_ended_parts():
+    driven = Driven()
+    for number in range(500):
+        now = number * 0.01
+        driven.feed(PartArrived(make_part(number)), now)
+        driven.answer(driven.sent[-1], RowsReply(SNAPSHOT, ()), now + 0.002)
+        assert next_wake(driven.pool, now + 0.002) > 1.0
+    assert len(driven.pool.timers) == 0
+
+
+def test_a_pool_wakes_for_its_hedge_and_its_reconnection():
+    driven = Driven()
+    driven.feed(PartArrived(make_part(1, hedge_after_s=0.05)), 0.0)
+    assert next_wake(driven.pool, 0.0) == pytest.approx(0.05)
+    driven = Driven()
+    view = driven.pool.view_by_upstream[NEAR.id]
+    [connection] = view.connection_by_id.values()
+    driven.feed(ConnectionClosed(connection.id, NEAR.id), 0.0)
+    assert next_wake(driven.pool, 0.0) == pytest.approx(view.reopen_delay_s)
