Entries keep connections to a subset where upstreams accept too few

Cause: 78 entries each kept a connection to upstreams that accept 61.

Ruled out: entries as owners of services for each other; that needs a hop for each part, and one frozen owner stalls every query.

Change: version/pool/aperture.py chooses by rendezvous hashing which upstreams an entry keeps connections to, its own zone first; others are connected only for parts that no upstream of the subset may take. The delay of reconnection ends with an answer. A hedge no longer opens connections to the upstream that already has the part.

--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -166,7 +166,7 @@
         self._is_done = False
         self.router = Router(
             Routing(name, Sharing.ALONE),
-            shared_tuning(settings.routing, self.own.zone),
+            shared_tuning(settings.routing, self.own.zone, name),
             log=self.log.put,
             clock=clock,
             observed=self._observed,
--- a/berylspool/process/entry/tuning.py
+++ b/berylspool/process/entry/tuning.py
@@ -36,7 +36,7 @@
     )
 
 
-def shared_tuning(settings: RoutingSettings, zone: str) -> Tuning:
+def shared_tuning(settings: RoutingSettings, zone: str, entry: str) -> Tuning:
     """Return the tuning of pools that share upstreams with other entries."""
     return Tuning(
         choice=LeastLoaded(zone, settings.crossing_requests),
@@ -49,4 +49,6 @@
         opens_on_demand=True,
         isolates_suspects=False,
         counts_refusals=True,
+        entry=entry,
+        zone=zone,
     )
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -70,6 +70,8 @@
         cold_s: Time for which an upstream is cold after a start, in seconds.
         cold_per_s: Requests a second that one entry may send to a cold
             upstream; None if there is no bound, 0 if it may send none.
+        share: Connections to an upstream that one entry may keep; below one,
+            it keeps connections to some upstreams only.
     """
 
     slots: int = 3
@@ -79,6 +81,7 @@
     extra_copies: float | None = None
     cold_s: float = 0.0
     cold_per_s: float | None = None
+    share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -20,6 +20,7 @@
     ForwardService,
 )
 from berylspool.version.move import Move, MoveState
+from berylspool.version.pool.aperture import connection_share
 
 __all__ = [
     "ListedUpstream",
@@ -33,6 +34,8 @@
 
 # Pools need a route that reads each service; plans have routes of their own.
 ALL_SERVICES = "all services"
+# Two requests at once are seldom more at an entry that shares with many.
+BUSY_CONNECTIONS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,14 +179,18 @@
 ) -> Limits:
     """Return what one entry may do to an upstream of a service."""
     sharers = max(1, sharing.entries)
+    share = connection_share(service.connections, sharers)
+    # Callers are spread unevenly, so a busy entry may go beyond its share.
+    least = 1 if share >= 1.0 else BUSY_CONNECTIONS
     return Limits(
         slots=slots,
-        connections=max(1, service.connections // sharers),
+        connections=max(least, service.connections // sharers),
         cold_slots=slots,
         ramp_s=0.0,
         extra_copies=sharing.extra_copies / sharers,
         cold_s=service.cold_s,
         cold_per_s=cold_rate(service.cold_per_s, sharing),
+        share=share,
     )
 
 
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -69,6 +69,8 @@
         counts_refusals: Whether a send after an upstream's refusal is paid
             from the budget of extra copies.
         first_tokens: Balance of that budget at the start.
+        entry: Name of the entry, which decides its subset of upstreams.
+        zone: Availability zone of the entry.
     """
 
     choice: Choice
@@ -83,6 +85,8 @@
     isolates_suspects: bool = True
     counts_refusals: bool = False
     first_tokens: float = MOST_TOKENS
+    entry: str = ""
+    zone: str = ""
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/berylspool/version/pool/tests/test_aperture.py
@@ -0,0 +1,135 @@
+"""Entries that share upstreams with fewer connections than entries."""
+
+import collections
+
+import pytest
+
+from berylspool.request.query import Reason, Snapshot
+from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.pool.admission import next_wake, step
+from berylspool.version.pool.aperture import choose_aperture, connection_share
+from berylspool.version.pool.message import (
+    Connect,
+    ConnectionClosed,
+    ConnectionOpened,
+    ErrorReply,
+    PartArrived,
+    Reconfigured,
+    Woken,
+)
+from berylspool.version.pool.state import Pool, Tuning
+from berylspool.version.pool.tests.test_shared_upstreams import (
+    Driven,
+    make_part,
+)
+from berylspool.version.pool.upstream_view import LeastLoaded
+
+SNAPSHOT = Snapshot("", 1)
+ZONES = ("z0", "z1", "z2")
+UPSTREAMS = tuple(
+    Upstream(f"u{n}", f"10.0.0.{n}", 1, zone, "")
+    for n, zone in enumerate(ZONES)
+)
+
+
+def apertures(entries, connections, upstreams=UPSTREAMS):
+    share = connection_share(connections, entries)
+    return {
+        f"entry-{n}": choose_aperture(
+            f"entry-{n}", ZONES[n % 3], upstreams, share
+        )
+        for n in range(entries)
+    }
+
+
+@pytest.mark.parametrize(
+    ("entries", "connections"), [(62, 53), (78, 61), (93, 61), (150, 61)]
+)
+def test_upstreams_get_no_more_connections_than_they_accept(
+    entries, connections
+):
+    chosen = apertures(entries, connections)
+    count = collections.Counter(id for ids in chosen.values() for id in ids)
+    assert max(count.values()) <= connections
+    assert all(ids for ids in chosen.values())
+
+
+def test_the_own_zone_comes_first():
+    for n in range(30):
+        ids = choose_aperture(f"e{n}", "z1", UPSTREAMS, 0.4)
+        assert "u1" in ids
+
+
+def test_a_lost_upstream_moves_only_the_connections_to_it():
+    before = apertures(78, 61)
+    after = apertures(78, 61, UPSTREAMS[:2])
+    for name, ids in before.items():
+        assert ids - {"u2"} <= after[name] or len(after[name]) < len(ids)
+
+
+def small_pool(extra=5.0):
+    """Return a pool that keeps a connection to one upstream of three."""
+    driven = Driven(UPSTREAMS, extra=extra)
+    limits = Limits(slots=2, cold_slots=2, ramp_s=0.0, connections=2, share=0.1)
+    driven.pool = Pool(
+        "s",
+        "",
+        Tuning(
+            LeastLoaded("z0", 0.9),
+            silent_s=None,
+            opens_on_demand=True,
+            isolates_suspects=False,
+            first_tokens=5.0,
+            entry="e",
+            zone="z0",
+        ),
+    )
+    driven.feed(Reconfigured(UPSTREAMS, limits), 0.0)
+    return driven
+
+
+def connected(driven):
+    return {
+        view.upstream.id
+        for view in driven.pool.view_by_upstream.values()
+        if view.connection_by_id
+    }
+
+
+def test_only_the_subset_is_connected_until_a_part_needs_more():
+    driven = small_pool()
+    assert connected(driven) == {"u0"}
+    driven.feed(PartArrived(make_part(1, hedge_after_s=0.05)), 0.0)
+    assert connected(driven) == {"u0"}
+    driven.feed(Woken(), 0.06)
+    assert len(connected(driven)) == 2
+    upstreams = {
+        driven.pool.attempt_by_id[send.attempt_id].upstream_id
+        for send in driven.sent
+    }
+    assert len(upstreams) == 2
+
+
+def test_a_failed_part_goes_beyond_the_subset():
+    driven = small_pool()
+    driven.feed(PartArrived(make_part(1)), 0.0)
+    driven.answer(driven.sent[0], ErrorReply(Reason.UPSTREAM_ERROR), 0.01)
+    driven.feed(Woken(), 0.01)
+    assert len(driven.sent) == 2
+
+
+def test_connections_that_are_reset_at_once_are_opened_ever_more_slowly():
+    pool = Pool("s", "", small_pool().pool.tuning)
+    limits = Limits(slots=2, cold_slots=2, ramp_s=0.0, share=0.1)
+    opened, now = 0, 0.0
+    actions = step(pool, Reconfigured(UPSTREAMS, limits), now)
+    while now < 10.0:
+        for action in actions:
+            if isinstance(action, Connect):
+                opened += 1
+                id, upstream = action.connection_id, action.upstream.id
+                step(pool, ConnectionOpened(id, upstream, upstream), now)
+                step(pool, ConnectionClosed(id, upstream), now)
+        now += max(0.001, next_wake(pool, now))
+        actions = step(pool, Woken(), now)
+    assert opened <= 20
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -1,6 +1,7 @@
 """Upkeep of a pool's upstreams and of the connections to them."""
 
 from berylspool.version.configuration import Limits, Upstream
+from berylspool.version.pool.aperture import choose_aperture
 from berylspool.version.pool.attempt import on_attempt_lost
 from berylspool.version.pool.cold_rate import LISTING_LAG_S, chill
 from berylspool.version.pool.message import (
@@ -12,7 +13,7 @@
     PoolAction,
 )
 from berylspool.version.pool.ramp import doubt, on_instance
-from berylspool.version.pool.state import Pool
+from berylspool.version.pool.state import Job, Pool
 from berylspool.version.pool.tail import cap
 from berylspool.version.pool.upstream_view import (
     ConnectionState,
@@ -33,6 +34,9 @@
 FIRST_REOPEN_DELAY_S = 0.02
 LONGEST_REOPEN_DELAY_S = 1.0
 SPARE_CONNECTIONS = 1
+# A handshake of 6 ms that waits for a slot, and a round trip between zones; a
+# connection that takes longer may never open.
+OPENING_S = 0.05
 WATCH_CONNECTIONS = 1
 
 
@@ -57,7 +61,8 @@
         actions.append(Changed(view.upstream.id, change))
     if connection.state is ConnectionState.OPENING:
         connection.state = ConnectionState.IDLE
-    view.reopen_delay_s = 0.0
+    # Upstreams accept connections beyond their limit and reset them then, so
+    # only an answer ends the growth of the delay.
     return actions
 
 
@@ -94,7 +99,9 @@
     """Take over the upstreams that may get new work."""
     if limits.extra_copies is not None:
         cap(pool.budget, limits.extra_copies)
+    tuning = pool.tuning
     wanted = {upstream.id: upstream for upstream in upstreams}
+    kept = choose_aperture(tuning.entry, tuning.zone, upstreams, limits.share)
     for view in pool.view_by_upstream.values():
         view.is_serving = view.upstream.id in wanted
         view.limits = limits
@@ -107,6 +114,8 @@
         if upstream.is_cold:
             view = pool.view_by_upstream[upstream.id]
             chill(view.cold, max(limits.cold_s, LISTING_LAG_S), now)
+    for view in pool.view_by_upstream.values():
+        view.is_reserve = view.upstream.id not in kept
     return drop_unused(pool)
 
 
@@ -151,38 +160,104 @@
 
 
 def open_on_demand(pool: Pool, now: float) -> list[PoolAction]:
-    """Keep one connection to each upstream, and one for each part that waits.
+    """Keep one connection to each upstream of the entry's subset.
 
-    A connection costs its upstream a slot for a moment, and all entries
-    share the limit, so none is opened in advance beyond the first.
+    Each part that waits gets one more, outside of the subset only if no
+    upstream of the subset may take it.  A connection costs its upstream a
+    slot for a moment, and all entries share the limit, so none is opened in
+    advance beyond the first.
     """
     actions: list[PoolAction] = []
-    waiting = len(pool.waiting)
+    if pool.is_closing:
+        return actions
+    jobs = _waiting_jobs(pool)
     for view in pool.view_by_upstream.values():
-        if view.connection_by_id and not waiting:
+        if view.connection_by_id and not jobs:
             # The usual case: nothing waits and all are connected.
             continue
-        if not view.is_serving or view.is_draining or pool.is_closing:
-            continue
-        if now < view.reopen_at or view.reserved_for:
+        if view.is_reserve or not _may_connect(view, now):
             continue
-        wanted = _wanted_on_demand(view, waiting, now)
-        for _ in range(wanted):
-            connection = ConnectionView(pool.next_serial(), view.upstream.id)
-            view.connection_by_id[connection.id] = connection
-            actions.append(Connect(connection.id, view.upstream))
-        waiting = max(0, waiting - wanted)
+        parts = _parts_for(pool, view, jobs)
+        opened = _connect(pool, view, parts, now)
+        actions += opened
+        del jobs[: len(opened)]
+    if pool.waiting:
+        actions += _open_reserve(pool, now)
     return actions
 
 
-def _wanted_on_demand(view: UpstreamView, waiting: int, now: float) -> int:
-    """Return how many connections to open to an upstream now."""
+def _waiting_jobs(pool: Pool) -> list[Job]:
+    jobs = (pool.job_by_part.get(entry[3]) for entry in pool.waiting)
+    return [job for job in jobs if job is not None]
+
+
+def _parts_for(pool: Pool, view: UpstreamView, jobs: list[Job]) -> int:
+    """Return how many of the waiting parts an upstream may get."""
+    serving = {
+        other.upstream.id
+        for other in pool.view_by_upstream.values()
+        if other.is_serving and not other.is_draining
+    }
+    id = view.upstream.id
+    return sum(id not in job.tried or serving <= job.tried for job in jobs)
+
+
+def _open_reserve(pool: Pool, now: float) -> list[PoolAction]:
+    """Connect to upstreams outside of the subset for parts that are stuck."""
+    reserve = [v for v in pool.view_by_upstream.values() if v.is_reserve]
+    if not reserve:
+        return []
+    stuck = _stuck_parts(pool, now) - sum(
+        connection.state is ConnectionState.OPENING
+        and now - connection.since < OPENING_S
+        for view in reserve
+        for connection in view.connection_by_id.values()
+    )
+    actions: list[PoolAction] = []
+    for view in reserve:
+        if stuck > len(actions) and _may_connect(view, now):
+            actions += _connect(pool, view, stuck - len(actions), now)
+    return actions
+
+
+def _stuck_parts(pool: Pool, now: float) -> int:
+    """Return how many waiting parts no upstream of the subset may take."""
+    usable = {
+        view.upstream.id
+        for view in pool.view_by_upstream.values()
+        if not view.is_reserve
+        and _may_connect(view, now)
+        and free_slots(view, now)
+    }
+    return sum(usable <= job.tried for job in _waiting_jobs(pool))
+
+
+def _may_connect(view: UpstreamView, now: float) -> bool:
+    return (
+        view.is_serving
+        and not view.is_draining
+        and now >= view.reopen_at
+        and not view.reserved_for
+    )
+
+
+def _connect(
+    pool: Pool, view: UpstreamView, parts: int, now: float
+) -> list[PoolAction]:
+    """Open the connections that so many waiting parts need."""
     live = view.connection_by_id.values()
     opening = sum(c.state is ConnectionState.OPENING for c in live)
     usable = opening + sum(c.state is ConnectionState.IDLE for c in live)
     room = view.limits.connections - len(view.connection_by_id)
     most = min(free_slots(view, now) - usable, room)
     wanted = 1 if not live else 0
-    if waiting > opening:
-        wanted = max(wanted, waiting - opening)
-    return max(0, min(wanted, most))
+    if parts > opening:
+        wanted = max(wanted, parts - opening)
+    actions: list[PoolAction] = []
+    for _ in range(max(0, min(wanted, most))):
+        connection = ConnectionView(
+            pool.next_serial(), view.upstream.id, since=now
+        )
+        view.connection_by_id[connection.id] = connection
+        actions.append(Connect(connection.id, view.upstream))
+    return actions
--- a/berylspool/version/pool/upstream_view.py
+++ b/berylspool/version/pool/upstream_view.py
@@ -56,6 +56,7 @@
         state: Stage.
         attempt_id: Attempt that is in flight on it, if any.
         holds_slot: Whether a slot is counted for it until it closes.
+        since: When it began to open, or was last idle, monotonic seconds.
     """
 
     id: int
@@ -63,6 +64,7 @@
     state: ConnectionState = ConnectionState.OPENING
     attempt_id: int | None = None
     holds_slot: bool = False
+    since: float = 0.0
 
 
 @dataclass(slots=True)
@@ -86,6 +88,7 @@
         latency_at: Moment of the newest answer time.
         sent_at_by_attempt: When each attempt that is owed was sent.
         cold: Rate at which it may get requests while cold.
+        is_reserve: Whether it is used only for parts that no other takes.
     """
 
     upstream: Upstream
@@ -104,6 +107,7 @@
     latency_at: float = float("-inf")
     sent_at_by_attempt: dict[int, float] = field(default_factory=dict)
     cold: ColdRate = field(default_factory=ColdRate)
+    is_reserve: bool = False
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Take the part of a reported load that other entries caused."""
@@ -259,6 +263,7 @@
     if not untried and _has_untried(views, tried):
         return None
     candidates = untried or candidates
+    candidates = [v for v in candidates if not v.is_reserve] or candidates
     if not candidates:
         return None
 
