Timing of pools in a module of its own; one module for cold starts

When a pool wakes is a subject of its own; the two modules on cold starts are one. No behaviour changes; all tests of pools, platform and pages pass.

--- a/berylspool/version/pool/task.py
+++ b/berylspool/version/pool/task.py
@@ -14,7 +14,7 @@
 from berylspool.common.mailbox import Mailbox
 from berylspool.request.query import PartResult
 from berylspool.version.configuration import Upstream
-from berylspool.version.pool.admission import next_wake, step
+from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
     Blame,
     CancelAttempt,
@@ -32,6 +32,7 @@
     Woken,
 )
 from berylspool.version.pool.state import Pool, Tuning
+from berylspool.version.pool.timing import next_wake
 
 __all__ = ["ConnectionTask", "PoolTask", "Transport"]
 
--- a/berylspool/version/pool/tests/test_aperture.py
+++ b/berylspool/version/pool/tests/test_aperture.py
@@ -6,7 +6,7 @@
 
 from berylspool.request.query import Reason, Snapshot
 from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.pool.admission import next_wake, step
+from berylspool.version.pool.admission import step
 from berylspool.version.pool.aperture import choose_aperture, connection_share
 from berylspool.version.pool.message import (
     Connect,
@@ -22,6 +22,7 @@
     Driven,
     make_part,
 )
+from berylspool.version.pool.timing import next_wake
 from berylspool.version.pool.upstream_view import LeastLoaded
 
 SNAPSHOT = Snapshot("", 1)
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -19,7 +19,7 @@
     cold_rate,
     difference,
 )
-from berylspool.version.pool.admission import next_wake, step
+from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
     AttemptAnswered,
     CancelAttempt,
@@ -38,6 +38,7 @@
     Woken,
 )
 from berylspool.version.pool.state import Pool, Tuning
+from berylspool.version.pool.timing import next_wake
 from berylspool.version.pool.upstream_view import LeastLoaded
 
 SNAPSHOT = Snapshot("", 1)
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -3,7 +3,6 @@
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.aperture import choose_aperture
 from berylspool.version.pool.attempt import on_attempt_lost
-from berylspool.version.pool.cold_rate import LISTING_LAG_S, chill
 from berylspool.version.pool.message import (
     Changed,
     Connect,
@@ -12,7 +11,12 @@
     Disconnect,
     PoolAction,
 )
-from berylspool.version.pool.ramp import doubt, on_instance
+from berylspool.version.pool.ramp import (
+    LISTING_LAG_S,
+    chill,
+    doubt,
+    on_instance,
+)
 from berylspool.version.pool.state import Job, Pool
 from berylspool.version.pool.tail import cap
 from berylspool.version.pool.upstream_view import (
--- a/berylspool/version/pool/upstream_view.py
+++ b/berylspool/version/pool/upstream_view.py
@@ -10,9 +10,14 @@
 
 from berylspool.request.fingerprint import ticket
 from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.pool.cold_rate import ColdRate, may_send
 from berylspool.version.pool.message import ReportedLoad
-from berylspool.version.pool.ramp import Ramp, allowed_slots, is_warm
+from berylspool.version.pool.ramp import (
+    ColdRate,
+    Ramp,
+    allowed_slots,
+    is_warm,
+    may_send,
+)
 
 __all__ = [
     "Choice",
