Hedges use the slack of the retry budget; idle entries keep no connections

Cause: copies beyond the first were earned by an entry's own requests alone and the slack of the bound was only the most that could be saved up. At 78 entries each sees about one request a second, so a pool had a copy for every fifth of them, while the bound allows more copies than first requests.

Ruled out: shares by demand through control; a round of heartbeats late, and not needed while half of the slack is unused.

Change: half of an entry's share of the slack can be saved up, the other half comes evenly over the window. Connections are renewed for 10 s after the newest part of a pool.

--- a/berylspool/platform/settings.py
+++ b/berylspool/platform/settings.py
@@ -51,6 +51,7 @@
         grace_s: Time from SIGTERM to SIGKILL.
         retry_budget_ratio: Copies beyond the first, per request.
         retry_budget_slack: Copies beyond the first that are always allowed.
+        budget_window_s: Span over which copies are counted.
         warmup_overshoot: Times a cold back end's rate that it may get.
         warmup_slack: Requests in any second beyond that.
     """
@@ -58,6 +59,7 @@
     grace_s: float = 6.0
     retry_budget_ratio: float = 0.2
     retry_budget_slack: float = 50.0
+    budget_window_s: float = 10.0
     warmup_overshoot: float = 1.0
     warmup_slack: float = 0.0
 
@@ -170,6 +172,7 @@
             choice="least_loaded",
             extra_ratio=given.bounds.retry_budget_ratio * RATIO_SHARE,
             extra_slack=given.bounds.retry_budget_slack * SLACK_SHARE,
+            extra_window_s=given.bounds.budget_window_s,
             cold_factor=given.bounds.warmup_overshoot * RATIO_SHARE,
             cold_slack=given.bounds.warmup_slack,
         ),
--- a/berylspool/process/entry/in_force.py
+++ b/berylspool/process/entry/in_force.py
@@ -99,6 +99,7 @@
         bounds = SharedBounds(
             self.entries,
             routing.extra_slack,
+            routing.extra_window_s,
             routing.cold_factor,
             routing.cold_slack,
         )
--- a/berylspool/process/settings.py
+++ b/berylspool/process/settings.py
@@ -44,7 +44,8 @@
         crossing_requests: Price of another zone for `least_loaded`, in
             requests.
         extra_slack: Copies beyond the first that all entries together may
-            send at once, whatever they have sent before.
+            send in each window, whatever they have sent before.
+        extra_window_s: Length of that window, in seconds.
         cold_factor: Times the rate that a service states for a cold upstream
             that all entries together may send it.
         cold_slack: Requests in any second beyond that.
@@ -63,6 +64,7 @@
     hedge_percentile: float = Field(96.0, gt=50, lt=100)
     extra_ratio: float = Field(0.05, ge=0, le=1)
     extra_slack: float = Field(10.0, ge=0)
+    extra_window_s: float = Field(10.0, gt=0)
     cold_factor: float = Field(1.0, ge=0)
     cold_slack: float = Field(0.0, ge=0)
     hedge_share: float = Field(0.36, gt=0, le=1)
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -67,6 +67,8 @@
             seconds.
         extra_copies: Copies beyond the first that one entry may have saved
             up; None for the pool's own figure.
+        extra_per_s: Such copies that one entry may send each second beside
+            those that it earns by requests.
         cold_s: Time for which an upstream is cold after a start, in seconds.
         cold_per_s: Requests a second that one entry may send to a cold
             upstream; None if there is no bound, 0 if it may send none.
@@ -79,6 +81,7 @@
     cold_slots: int = 1
     ramp_s: float = 4.0
     extra_copies: float | None = None
+    extra_per_s: float = 0.0
     cold_s: float = 0.0
     cold_per_s: float | None = None
     share: float = 1.0
--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -34,6 +34,9 @@
 
 # Pools need a route that reads each service; plans have routes of their own.
 ALL_SERVICES = "all services"
+# What is saved up can be spent in one window together with all that the window
+# gains, so the two add up to what the window allows.
+SAVED_SHARE = 0.5
 # Two requests at once are seldom more at an entry that shares with many.
 BUSY_CONNECTIONS = 2
 
@@ -75,14 +78,16 @@
 
     Attributes:
         entries: Entries that share each upstream.
-        extra_copies: Copies beyond the first that may be saved up for a
-            service.
+        extra_copies: Copies beyond the first that a service may get in each
+            window, beside those that requests earn.
+        extra_window_s: Length of that window, in seconds.
         cold_factor: Times the stated rate that a cold upstream may get.
         cold_slack: Requests in any second beyond that.
     """
 
     entries: int = 1
     extra_copies: float = 0.0
+    extra_window_s: float = 10.0
     cold_factor: float = 1.0
     cold_slack: float = 0.0
 
@@ -187,7 +192,11 @@
         connections=max(least, service.connections // sharers),
         cold_slots=slots,
         ramp_s=0.0,
-        extra_copies=sharing.extra_copies / sharers,
+        extra_copies=SAVED_SHARE * sharing.extra_copies / sharers,
+        extra_per_s=(1.0 - SAVED_SHARE)
+        * sharing.extra_copies
+        / sharers
+        / sharing.extra_window_s,
         cold_s=service.cold_s,
         cold_per_s=cold_rate(service.cold_per_s, sharing),
         share=share,
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -127,6 +127,7 @@
 
 
 def _arrive(pool: Pool, part: Part, now: float) -> list[PoolAction]:
+    pool.arrived_at = now
     if part.id in pool.job_by_part:
         return []
     reason = _refusal(pool, part, now)
@@ -194,7 +195,7 @@
         or is_suspect(pool.suspicion, job.part.fingerprint)
     ):
         return
-    if not withdraw(pool.budget):
+    if not withdraw(pool.budget, now):
         moment = now + hedge_delay_s(pool, job)
         set_timer(pool, moment, job.part.id, TimerKind.HEDGE)
         return
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -89,7 +89,7 @@
             job.refusals += 1
             if reason is not Reason.NO_UPSTREAM:
                 job.tried.discard(attempt.upstream_id)
-            return _not_run(pool, job, reason)
+            return _not_run(pool, job, reason, now)
         case ErrorReply(reason=reason, response=response):
             job.has_run = True
             job.last_reason = reason
@@ -137,7 +137,9 @@
             view.is_draining = True
 
 
-def _not_run(pool: Pool, job: Job, reason: Reason) -> list[PoolAction]:
+def _not_run(
+    pool: Pool, job: Job, reason: Reason, now: float
+) -> list[PoolAction]:
     """Handle a refusal; the upstream says that nothing ran."""
     job.last_reason = reason
     if reason is Reason.WRONG_SNAPSHOT:
@@ -146,7 +148,7 @@
     if job.attempt_by_id or job.queued:
         return []
     if _is_spent(job) or (
-        pool.tuning.counts_refusals and not withdraw(pool.budget)
+        pool.tuning.counts_refusals and not withdraw(pool.budget, now)
     ):
         return fail(pool, job, reason)
     # The upstream did not run it, so a new send doubles nothing.
@@ -173,7 +175,7 @@
         not job.part.idempotent
         or _is_spent(job)
         or is_convicted(pool.suspicion, job.part.fingerprint)
-        or not withdraw(pool.budget)
+        or not withdraw(pool.budget, now)
     ):
         return fail(pool, job, job.last_reason)
     set_timer(pool, now + delay_s, job.part.id, TimerKind.RETRY)
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -138,6 +138,7 @@
         lease_until: No new copy is sent from this moment on, monotonic
             seconds.
         is_closing: Whether the pool takes no new parts.
+        arrived_at: Moment of the newest part, or of the start.
     """
 
     service: str
@@ -153,6 +154,7 @@
     suspicion: Suspicion = field(default_factory=Suspicion)
     lease_until: float = float("inf")
     is_closing: bool = False
+    arrived_at: float | None = None
     serial: int = 0
     mean_s: float = FIRST_MEAN_S
     budget: Budget = field(init=False)
--- a/berylspool/version/pool/tail.py
+++ b/berylspool/version/pool/tail.py
@@ -28,11 +28,15 @@
         ratio: Tokens gained by each first copy.
         most: Largest balance.
         tokens: Balance.
+        per_s: Tokens gained each second, whatever is sent.
+        gained_at: Moment of the newest such gain, monotonic seconds.
     """
 
     ratio: float
     most: float
     tokens: float
+    per_s: float = 0.0
+    gained_at: float | None = None
 
 
 def deposit(budget: Budget) -> None:
@@ -40,8 +44,13 @@
     budget.tokens = min(budget.most, budget.tokens + budget.ratio)
 
 
-def cap(budget: Budget, most: float) -> None:
-    """Change the largest balance, as entries that share a budget come and go.
+def cap(budget: Budget, most: float, per_s: float = 0.0) -> None:
+    """Change an entry's share of a budget, as entries come and go.
+
+    Args:
+        budget: The budget.
+        most: Largest balance from now on.
+        per_s: Tokens gained each second from now on.
 
     Examples:
         >>> budget = Budget(ratio=0.5, most=8.0, tokens=6.0)
@@ -50,20 +59,32 @@
         4.0
     """
     budget.most = most
+    budget.per_s = per_s
     budget.tokens = min(budget.tokens, most)
 
 
-def withdraw(budget: Budget) -> bool:
+def withdraw(budget: Budget, now: float) -> bool:
     """Pay for one extra copy.
 
+    Args:
+        budget: The budget.
+        now: Monotonic time in seconds.
+
     Returns:
         False if the balance is too low; nothing is paid then.
 
     Examples:
         >>> budget = Budget(ratio=0.5, most=2.0, tokens=1.0)
-        >>> withdraw(budget), withdraw(budget)
+        >>> withdraw(budget, 0.0), withdraw(budget, 0.0)
         (True, False)
+        >>> budget.per_s = 0.5
+        >>> withdraw(budget, 1.0), withdraw(budget, 2.0)
+        (False, True)
     """
+    if budget.gained_at is not None:
+        gained = (now - budget.gained_at) * budget.per_s
+        budget.tokens = min(budget.most, budget.tokens + gained)
+    budget.gained_at = now
     if budget.tokens < 1.0:
         return False
     budget.tokens -= 1.0
--- a/berylspool/version/pool/tests/test_aperture.py
+++ b/berylspool/version/pool/tests/test_aperture.py
@@ -134,3 +134,29 @@
         now += max(0.001, next_wake(pool, now))
         actions = step(pool, Woken(), now)
     assert opened <= 20
+
+
+def test_an_entry_without_requests_does_not_renew_its_connections():
+    driven = small_pool()
+    view = driven.pool.view_by_upstream["u0"]
+    [connection] = view.connection_by_id.values()
+    closed = ConnectionClosed(connection.id, "u0", is_planned=True)
+    driven.feed(closed, 15.0)
+    driven.feed(Woken(), 20.0)
+    assert not connected(driven)
+    driven.feed(PartArrived(make_part(1)), 21.0)
+    assert len(driven.sent) == 1
+
+
+def test_an_entry_with_requests_renews_its_connections():
+    driven = small_pool()
+    driven.feed(PartArrived(make_part(1)), 12.0)
+    [send] = driven.sent
+    driven.answer(send, ErrorReply(Reason.UPSTREAM_ERROR), 12.1)
+    for view in list(driven.pool.view_by_upstream.values()):
+        for connection in list(view.connection_by_id.values()):
+            closed = ConnectionClosed(
+                connection.id, view.upstream.id, is_planned=True
+            )
+            driven.feed(closed, 15.0)
+    assert "u0" in connected(driven)
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -41,6 +41,9 @@
 # A handshake of 6 ms that waits for a slot, and a round trip between zones; a
 # connection that takes longer may never open.
 OPENING_S = 0.05
+# Callers that are still there send again within a few seconds; those of an
+# entry that has had none for longer wait for a connection once.
+UNUSED_S = 10.0
 WATCH_CONNECTIONS = 1
 
 
@@ -101,8 +104,10 @@
     pool: Pool, upstreams: tuple[Upstream, ...], limits: Limits, now: float
 ) -> list[PoolAction]:
     """Take over the upstreams that may get new work."""
+    if pool.arrived_at is None:
+        pool.arrived_at = now
     if limits.extra_copies is not None:
-        cap(pool.budget, limits.extra_copies)
+        cap(pool.budget, limits.extra_copies, limits.extra_per_s)
     tuning = pool.tuning
     wanted = {upstream.id: upstream for upstream in upstreams}
     kept = choose_aperture(tuning.entry, tuning.zone, upstreams, limits.share)
@@ -169,14 +174,16 @@
     Each part that waits gets one more, outside of the subset only if no
     upstream of the subset may take it.  A connection costs its upstream a
     slot for a moment, and all entries share the limit, so none is opened in
-    advance beyond the first.
+    advance beyond the first, nor at an entry that has no use for it.
     """
     actions: list[PoolAction] = []
     if pool.is_closing:
         return actions
     jobs = _waiting_jobs(pool)
+    arrived_at = now if pool.arrived_at is None else pool.arrived_at
+    is_used = now - arrived_at < UNUSED_S
     for view in pool.view_by_upstream.values():
-        if view.connection_by_id and not jobs:
+        if not jobs and (view.connection_by_id or not is_used):
             # The usual case: nothing waits and all are connected.
             continue
         if view.is_reserve or not _may_connect(view, now):
