Connections are learnt: how many, how long idle; none before the share is known

A second connection that was reset came back after 20 ms whenever the first had an answer.

Ruled out: holding connections at a few entries only; a hop for each part.

Change: an entry serves once it knows how many share the upstreams. A reset of a connection that never answered means that the upstream is full for 2 s. A reset by the first bytes after a pause teaches the pool how long connections may be idle. What may run once takes a connection that was just used or a new one. New connections follow the choice of upstreams, not the order of the list.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -123,6 +123,7 @@
     services = {f"s{n // COPIES}": None for n in range(len(ports))}
     document = plan_of(services)
     forwarder.in_force.state(Configuration(1, document=document))
+    forwarder.in_force.share(1)
     forwarder.in_force.list(listing_of(ports))
     await asyncio.sleep(1.0)
     used = 0.0
--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -132,6 +132,7 @@
         listed = [await shard.start() for shard in shards]
         if is_informed:
             plan = document(routes, {shard.service for shard in shards})
+            forwarder.in_force.share(1)
             forwarder.in_force.list(
                 Listing(1, 1, {item.upstream.id: item for item in listed})
             )
--- a/berylspool/process/entry/in_force.py
+++ b/berylspool/process/entry/in_force.py
@@ -50,7 +50,7 @@
         self.stated = Configuration()
         self.listing = Listing()
         self.listed_at = clock()
-        self.entries = 1
+        self.entries = 0
         self.is_known = asyncio.Event()
         self.settings = settings
         self._decode = decode
@@ -90,6 +90,10 @@
 
     def _refresh(self) -> None:
         self._is_stale = False
+        if not self.entries:
+            # As many as control counts share the upstreams: one that takes
+            # itself for the only one would open all their connections.
+            return
         plan = self._newest_plan()
         self.view.publish(ForwardView(plan, dict(self.stated.move_by_route)))
         if plan.number and self.listing.serial:
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -47,6 +47,7 @@
     enqueue,
     fail,
     hedge_delay_s,
+    idle_since,
     may_hedge,
     retry_after_s,
     set_timer,
@@ -245,6 +246,7 @@
         frozenset(job.tried),
         job.warm_only,
         now,
+        idle_since(pool, job, now),
     )
 
 
@@ -289,7 +291,7 @@
 def _send(
     pool: Pool, job: Job, view: UpstreamView, is_hedge: bool, now: float
 ) -> list[PoolAction]:
-    connection = idle_connection(view)
+    connection = idle_connection(view, idle_since(pool, job, now))
     assert connection is not None
     attempt = Attempt(
         pool.next_serial(),
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -64,6 +64,7 @@
         view.is_draining = False
     latency_s = now - attempt.sent_at
     if view is not None:
+        _note_use(view, event.connection_id, now)
         _learn(view, event.reply, latency_s, now)
         if event.load is not None:
             view.note_load(event.load, now)
@@ -98,6 +99,14 @@
     return []
 
 
+def _note_use(view: UpstreamView, connection_id: int, now: float) -> None:
+    """Note that an upstream has answered on a connection."""
+    connection = view.connection_by_id.get(connection_id)
+    if connection is not None:
+        connection.since = now
+        connection.has_answered = True
+
+
 def _outrun(pool: Pool, job: Job, attempt: Attempt, now: float) -> Observed:
     """Count a copy that lost to another with the time it had taken."""
     elapsed_s = now - attempt.sent_at
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -34,6 +34,7 @@
     "enqueue",
     "fail",
     "hedge_delay_s",
+    "idle_since",
     "may_hedge",
     "resolve",
     "retry_after_s",
@@ -44,6 +45,9 @@
 FIRST_HEDGE_DELAY_S = 0.25
 MOST_TOKENS = 10.0
 SHORTEST_RETRY_AFTER_S = 0.05
+# Well below any timeout of an upstream in whole seconds; a new connection
+# costs a round trip or two.
+LONGEST_IDLE_ONCE_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +143,9 @@
             seconds.
         is_closing: Whether the pool takes no new parts.
         arrived_at: Moment of the newest part, or of the start.
+        idle_limit_s: Time after which upstreams forget idle connections, as
+            far as was seen, in seconds.
+        idle_limit_until: Moment until which that is believed.
     """
 
     service: str
@@ -155,6 +162,8 @@
     lease_until: float = float("inf")
     is_closing: bool = False
     arrived_at: float | None = None
+    idle_limit_s: float = float("inf")
+    idle_limit_until: float = float("-inf")
     serial: int = 0
     mean_s: float = FIRST_MEAN_S
     budget: Budget = field(init=False)
@@ -174,6 +183,29 @@
         return self.serial
 
 
+def idle_since(pool: Pool, job: Job, now: float) -> float:
+    """Return since when a connection may be idle at most to carry a part.
+
+    Upstreams may forget idle connections and reset what is sent on them. A
+    part that may run once is lost then, so it takes a connection that was
+    just used, or a new one.
+
+    Args:
+        pool: The pool.
+        job: The part.
+        now: Monotonic time in seconds.
+
+    Returns:
+        Monotonic seconds.
+    """
+    longest_s = float("inf")
+    if now < pool.idle_limit_until:
+        longest_s = pool.idle_limit_s
+    if pool.tuning.opens_on_demand and not job.part.idempotent:
+        longest_s = min(longest_s, LONGEST_IDLE_ONCE_S)
+    return now - longest_s
+
+
 def enqueue(pool: Pool, job: Job, is_hedge: bool) -> None:
     """Put a part into the queue."""
     job.queued += 1
--- a/berylspool/version/pool/tests/test_aperture.py
+++ b/berylspool/version/pool/tests/test_aperture.py
@@ -15,6 +15,7 @@
     ErrorReply,
     PartArrived,
     Reconfigured,
+    RowsReply,
     Woken,
 )
 from berylspool.version.pool.state import Pool, Tuning
@@ -160,3 +161,54 @@
             )
             driven.feed(closed, 15.0)
     assert "u0" in connected(driven)
+
+
+def test_an_upstream_that_resets_a_second_connection_gets_no_third():
+    driven = small_pool()
+    driven.feed(PartArrived(make_part(1)), 0.0)
+    driven.feed(PartArrived(make_part(2)), 0.01)
+    view = driven.pool.view_by_upstream["u0"]
+    assert len(view.connection_by_id) == 2
+    lost = driven.sent[1].connection_id
+    driven.feed(ConnectionClosed(lost, "u0"), 0.02)
+    for number in range(3, 9):
+        driven.feed(PartArrived(make_part(number)), 0.02 + number / 10)
+        assert len(view.connection_by_id) == 1
+
+
+def test_connections_that_upstreams_forget_are_not_used_again():
+    driven = small_pool()
+    driven.feed(PartArrived(make_part(1)), 0.0)
+    driven.answer(driven.sent[0], RowsReply(SNAPSHOT, ()), 0.01)
+    driven.feed(PartArrived(make_part(2)), 0.4)
+    used = driven.sent[1].connection_id
+    assert used == driven.sent[0].connection_id
+    driven.feed(ConnectionClosed(used, "u0"), 0.41)
+    driven.feed(Woken(), 0.45)
+    driven.answer(driven.sent[2], RowsReply(SNAPSHOT, ()), 0.46)
+    former = driven.sent[2].connection_id
+    driven.feed(PartArrived(make_part(3)), 1.0)
+    assert len(driven.sent) == 4
+    assert driven.sent[3].connection_id != former
+
+
+def test_a_part_that_may_run_once_takes_no_connection_that_was_long_idle():
+    driven = small_pool()
+    driven.feed(PartArrived(make_part(1, idempotent=False)), 0.0)
+    driven.answer(driven.sent[0], RowsReply(SNAPSHOT, ()), 0.01)
+    driven.feed(PartArrived(make_part(2, idempotent=False)), 0.05)
+    assert driven.sent[1].connection_id == driven.sent[0].connection_id
+    driven.answer(driven.sent[1], RowsReply(SNAPSHOT, ()), 0.06)
+    driven.feed(PartArrived(make_part(3, idempotent=False)), 2.0)
+    assert driven.sent[2].connection_id != driven.sent[1].connection_id
+
+
+def test_new_connections_of_many_entries_go_to_all_upstreams():
+    first = collections.Counter()
+    for number in range(60):
+        driven = Driven((UPSTREAMS[1], UPSTREAMS[2]))
+        part = make_part(number, idempotent=False)
+        driven.feed(PartArrived(part), 5.0)
+        attempt = driven.pool.attempt_by_id[driven.sent[0].attempt_id]
+        first[attempt.upstream_id] += 1
+    assert min(first.values()) >= 5
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -1,5 +1,7 @@
 """Upkeep of a pool's upstreams and of the connections to them."""
 
+from collections.abc import Iterable
+
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.aperture import choose_aperture
 from berylspool.version.pool.attempt import on_attempt_lost
@@ -17,13 +19,14 @@
     doubt,
     on_instance,
 )
-from berylspool.version.pool.state import Job, Pool
+from berylspool.version.pool.state import Job, Pool, idle_since
 from berylspool.version.pool.tail import cap
 from berylspool.version.pool.upstream_view import (
     ConnectionState,
     ConnectionView,
     UpstreamView,
     free_slots,
+    preference,
 )
 
 __all__ = [
@@ -41,6 +44,15 @@
 # A handshake of 6 ms that waits for a slot, and a round trip between zones; a
 # connection that takes longer may never open.
 OPENING_S = 0.05
+# Upstreams accept fewer connections while their queues are long; a queue of a
+# dozen requests is worked off within a second or two.
+FULL_S = 2.0
+# A reset by what was sent comes back after a round trip.
+RESET_S = 0.05
+# Connections that were idle for less are lost for other reasons.
+SHORTEST_IDLE_S = 0.05
+IDLE_SHARE = 0.7
+IDLE_LIMIT_KEPT_S = 15.0
 # Callers that are still there send again within a few seconds; those of an
 # entry that has had none for longer wait for a connection once.
 UNUSED_S = 10.0
@@ -68,6 +80,7 @@
         actions.append(Changed(view.upstream.id, change))
     if connection.state is ConnectionState.OPENING:
         connection.state = ConnectionState.IDLE
+        connection.since = now
     # Upstreams accept connections beyond their limit and reset them then, so
     # only an answer ends the growth of the delay.
     return actions
@@ -87,6 +100,7 @@
         view.cold.is_lost = True
     if connection.holds_slot:
         view.in_flight -= 1
+    _learn_from_loss(pool, view, connection, now)
     actions = on_attempt_lost(pool, connection.attempt_id, view, now)
     if connection.state is not ConnectionState.RETIRED and not event.is_planned:
         if not view.ramp.is_doubted:
@@ -100,6 +114,30 @@
     return actions
 
 
+def _learn_from_loss(
+    pool: Pool, view: UpstreamView, connection: ConnectionView, now: float
+) -> None:
+    """Learn from a connection that was lost how many, and for how long.
+
+    One that was reset before it was of any use is one too many; one that was
+    reset at once by what was sent on it had been idle for too long.
+    """
+    if connection.state in (ConnectionState.OPENING, ConnectionState.RETIRED):
+        return
+    if not connection.has_answered:
+        view.full_until = now + FULL_S
+        return
+    sent_at = view.sent_at_by_attempt.get(connection.attempt_id or 0)
+    if sent_at is None or now - sent_at > RESET_S:
+        return
+    idle_s = sent_at - connection.since
+    if idle_s > SHORTEST_IDLE_S:
+        is_believed = now < pool.idle_limit_until
+        held_s = pool.idle_limit_s if is_believed else float("inf")
+        pool.idle_limit_s = min(held_s, idle_s * IDLE_SHARE)
+        pool.idle_limit_until = now + IDLE_LIMIT_KEPT_S
+
+
 def reconfigure(
     pool: Pool, upstreams: tuple[Upstream, ...], limits: Limits, now: float
 ) -> list[PoolAction]:
@@ -182,7 +220,7 @@
     jobs = _waiting_jobs(pool)
     arrived_at = now if pool.arrived_at is None else pool.arrived_at
     is_used = now - arrived_at < UNUSED_S
-    for view in pool.view_by_upstream.values():
+    for view in _in_order(pool, jobs, now):
         if not jobs and (view.connection_by_id or not is_used):
             # The usual case: nothing waits and all are connected.
             continue
@@ -191,12 +229,27 @@
         parts = _parts_for(pool, view, jobs)
         opened = _connect(pool, view, parts, now)
         actions += opened
-        del jobs[: len(opened)]
+        connects = sum(isinstance(action, Connect) for action in opened)
+        del jobs[:connects]
     if pool.waiting:
         actions += _open_reserve(pool, now)
     return actions
 
 
+def _in_order(
+    pool: Pool, jobs: list[Job], now: float
+) -> Iterable[UpstreamView]:
+    """Return the upstreams in the order that the oldest waiting part prefers.
+
+    Without a part there is no order: any would be the same at all entries.
+    """
+    views = pool.view_by_upstream.values()
+    if not jobs:
+        return views
+    choice, part_id = pool.tuning.choice, jobs[0].part.id
+    return sorted(views, key=preference(views, choice, part_id, now))
+
+
 def _waiting_jobs(pool: Pool) -> list[Job]:
     jobs = (pool.job_by_part.get(entry[3]) for entry in pool.waiting)
     return [job for job in jobs if job is not None]
@@ -215,7 +268,8 @@
 
 def _open_reserve(pool: Pool, now: float) -> list[PoolAction]:
     """Connect to upstreams outside of the subset for parts that are stuck."""
-    reserve = [v for v in pool.view_by_upstream.values() if v.is_reserve]
+    views = _in_order(pool, _waiting_jobs(pool), now)
+    reserve = [view for view in views if view.is_reserve]
     if not reserve:
         return []
     stuck = _stuck_parts(pool, now) - sum(
@@ -255,16 +309,25 @@
 def _connect(
     pool: Pool, view: UpstreamView, parts: int, now: float
 ) -> list[PoolAction]:
-    """Open the connections that so many waiting parts need."""
-    live = view.connection_by_id.values()
+    """Open the connections that so many waiting parts need.
+
+    Idle ones that no waiting part may use make room for them.
+    """
+    actions: list[PoolAction] = _close_stale(pool, view, now) if parts else []
+    live = [
+        connection
+        for connection in view.connection_by_id.values()
+        if connection.state is not ConnectionState.RETIRED
+    ]
+    if live and now < view.full_until:
+        return actions
     opening = sum(c.state is ConnectionState.OPENING for c in live)
     usable = opening + sum(c.state is ConnectionState.IDLE for c in live)
-    room = view.limits.connections - len(view.connection_by_id)
+    room = view.limits.connections - len(live)
     most = min(free_slots(view, now) - usable, room)
     wanted = 1 if not live else 0
     if parts > opening:
         wanted = max(wanted, parts - opening)
-    actions: list[PoolAction] = []
     for _ in range(max(0, min(wanted, most))):
         connection = ConnectionView(
             pool.next_serial(), view.upstream.id, since=now
@@ -272,3 +335,18 @@
         view.connection_by_id[connection.id] = connection
         actions.append(Connect(connection.id, view.upstream))
     return actions
+
+
+def _close_stale(
+    pool: Pool, view: UpstreamView, now: float
+) -> list[PoolAction]:
+    """Close the idle connections that no waiting part may use."""
+    jobs = _waiting_jobs(pool)
+    not_before = min((idle_since(pool, job, now) for job in jobs), default=now)
+    actions: list[PoolAction] = []
+    for connection in view.connection_by_id.values():
+        is_idle = connection.state is ConnectionState.IDLE
+        if is_idle and connection.since < not_before:
+            connection.state = ConnectionState.RETIRED
+            actions.append(Disconnect(connection.id))
+    return actions
--- a/berylspool/version/pool/upstream_view.py
+++ b/berylspool/version/pool/upstream_view.py
@@ -5,7 +5,7 @@
 """
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from berylspool.request.fingerprint import ticket
@@ -31,6 +31,7 @@
     "choose",
     "free_slots",
     "idle_connection",
+    "preference",
 ]
 
 LATENCY_WEIGHT = 0.1
@@ -62,6 +63,7 @@
         attempt_id: Attempt that is in flight on it, if any.
         holds_slot: Whether a slot is counted for it until it closes.
         since: When it began to open, or was last idle, monotonic seconds.
+        has_answered: Whether the upstream has answered on it.
     """
 
     id: int
@@ -70,6 +72,7 @@
     attempt_id: int | None = None
     holds_slot: bool = False
     since: float = 0.0
+    has_answered: bool = False
 
 
 @dataclass(slots=True)
@@ -94,6 +97,8 @@
         sent_at_by_attempt: When each attempt that is owed was sent.
         cold: Rate at which it may get requests while cold.
         is_reserve: Whether it is used only for parts that no other takes.
+        full_until: Moment until which it is taken to accept no further
+            connection, monotonic seconds.
     """
 
     upstream: Upstream
@@ -113,6 +118,7 @@
     sent_at_by_attempt: dict[int, float] = field(default_factory=dict)
     cold: ColdRate = field(default_factory=ColdRate)
     is_reserve: bool = False
+    full_until: float = float("-inf")
 
     def note_load(self, load: ReportedLoad, now: float) -> None:
         """Take the part of a reported load that other entries caused."""
@@ -211,10 +217,21 @@
     return max(0, allowed_slots(view.ramp, view.limits, now) - view.in_flight)
 
 
-def idle_connection(view: UpstreamView) -> ConnectionView | None:
-    """Return an idle connection to the upstream, or None."""
+def idle_connection(
+    view: UpstreamView, not_before: float = float("-inf")
+) -> ConnectionView | None:
+    """Return an idle connection to the upstream, or None.
+
+    Args:
+        view: What is known of the upstream.
+        not_before: Connections that are idle since an earlier moment are
+            left out, monotonic seconds.
+    """
     for connection in view.connection_by_id.values():
-        if connection.state is ConnectionState.IDLE:
+        if (
+            connection.state is ConnectionState.IDLE
+            and connection.since >= not_before
+        ):
             return connection
     return None
 
@@ -241,6 +258,7 @@
     tried: frozenset[str],
     warm_only: bool,
     now: float,
+    not_before: float = float("-inf"),
 ) -> UpstreamView | None:
     """Choose the upstream for one attempt.
 
@@ -252,6 +270,8 @@
         warm_only: Whether cold upstreams are excluded, as for retries
             after a lost upstream.
         now: Monotonic time in seconds.
+        not_before: Connections that are idle since an earlier moment are not
+            used, monotonic seconds.
 
     Returns:
         The chosen upstream, or None if none has a free slot and an idle
@@ -262,7 +282,7 @@
         for view in views
         if free_slots(view, now) > 0
         and (not warm_only or is_warm(view.ramp, view.limits, now))
-        and idle_connection(view) is not None
+        and idle_connection(view, not_before) is not None
     ]
     untried = [v for v in candidates if v.upstream.id not in tried]
     if not untried and _has_untried(views, tried):
@@ -272,33 +292,42 @@
     if not candidates:
         return None
 
+    return min(candidates, key=preference(views, choice, part_id, now))
+
+
+def preference(
+    views: Iterable[UpstreamView], choice: Choice, part_id: str, now: float
+) -> Callable[[UpstreamView], tuple[float, int]]:
+    """Return the key by which a part prefers upstreams, the best first.
+
+    Args:
+        views: Upstreams of the pool.
+        choice: Policy to follow.
+        part_id: Part to send; breaks ties.
+        now: Monotonic time in seconds.
+    """
+
     def tie(view: UpstreamView) -> int:
         return ticket(part_id + view.upstream.id)
 
     match choice:
         case Random():
-            return min(candidates, key=tie)
+            return lambda v: (0.0, tie(v))
         case FewestInFlight():
-            return min(candidates, key=lambda v: (v.in_flight, tie(v)))
+            return lambda v: (v.in_flight, tie(v))
         case LeastLoaded(zone=zone, crossing=crossing):
             usual_s = _usual_s(views)
-            return min(
-                candidates,
-                key=lambda v: (
-                    v.expected_s(usual_s, now)
-                    * (v.in_flight + v.load_of_others(now) + 1.0)
-                    + usual_s * (0.0 if v.upstream.zone == zone else crossing),
-                    tie(v),
-                ),
+            return lambda v: (
+                v.expected_s(usual_s, now)
+                * (v.in_flight + v.load_of_others(now) + 1.0)
+                + usual_s * (0.0 if v.upstream.zone == zone else crossing),
+                tie(v),
             )
         case ZoneAware(zone=zone, crossing_s=crossing_s):
-            return min(
-                candidates,
-                key=lambda v: (
-                    v.latency_s
-                    * (v.in_flight + 1)
-                    / allowed_slots(v.ramp, v.limits, now)
-                    + (0.0 if v.upstream.zone == zone else crossing_s),
-                    tie(v),
-                ),
+            return lambda v: (
+                v.latency_s
+                * (v.in_flight + 1)
+                / max(1, allowed_slots(v.ramp, v.limits, now))
+                + (0.0 if v.upstream.zone == zone else crossing_s),
+                tie(v),
             )
