Log lines of a choice say what decided it; a denied hedge has a line

Cause: a line for a choice named the upstream but not why, and a part without a second copy could only be told from missing lines.

Change: PartChosen carries own copies, the load of others with the age of its report, the learnt answer time with its age, and the wait; HedgeDenied (2008) is written once for a part, with the balance of the budget.

Tests: two, which fail before.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -7,6 +7,7 @@
     "CommandDecided",
     "ConfigurationApplied",
     "Event",
+    "HedgeDenied",
     "LeaderChanged",
     "LeaseChanged",
     "LinesDropped",
@@ -68,7 +69,22 @@
 
 @dataclass(frozen=True, slots=True)
 class PartChosen(Event):
-    """An upstream was chosen for a copy of a part."""
+    """An upstream was chosen for a copy of a part.
+
+    Attributes:
+        part: Id of the part, which begins with the request's.
+        service: Its service.
+        version: Pool that it belongs to.
+        upstream: The chosen one.
+        copy: Number of the copy; 1 is the first.
+        is_hedge: Whether it was queued behind first copies.
+        in_flight: Own copies there before this one.
+        others: Requests of other entries there, by its newest report.
+        load_age_ms: Age of that report; -1 if there is none.
+        answer_ms: Learnt answer time.
+        answer_age_ms: Age of the newest answer; -1 if there is none.
+        waited_ms: Time that the part waited in the pool.
+    """
 
     number: ClassVar[int] = 2001
     part: str
@@ -77,6 +93,22 @@
     upstream: str
     copy: int
     is_hedge: bool
+    in_flight: int = 0
+    others: float = 0.0
+    load_age_ms: int = -1
+    answer_ms: float = 0.0
+    answer_age_ms: int = -1
+    waited_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class HedgeDenied(Event):
+    """A part that takes long has no second copy, as the budget is spent."""
+
+    number: ClassVar[int] = 2008
+    part: str
+    service: str
+    tokens: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -22,6 +22,8 @@
     Closing,
     ConnectionClosed,
     ConnectionOpened,
+    Denied,
+    Evidence,
     HealthReported,
     Leased,
     PartArrived,
@@ -184,24 +186,26 @@
             case TimerKind.RETRY if not job.queued:
                 enqueue(pool, job, is_hedge=False)
             case TimerKind.HEDGE:
-                _hedge(pool, job, now)
+                actions += _hedge(pool, job, now)
     return actions
 
 
-def _hedge(pool: Pool, job: Job, now: float) -> None:
+def _hedge(pool: Pool, job: Job, now: float) -> list[PoolAction]:
     if (
         job.queued
         or not may_hedge(pool, job)
         or not job.part.idempotent
         or is_suspect(pool.suspicion, job.part.fingerprint)
     ):
-        return
+        return []
     if not withdraw(pool.budget, now):
         moment = now + hedge_delay_s(pool, job)
         set_timer(pool, moment, job.part.id, TimerKind.HEDGE)
-        return
+        is_first, job.is_denied = not job.is_denied, True
+        return [Denied(job.part, pool.budget.tokens)] if is_first else []
     job.hedges += 1
     enqueue(pool, job, is_hedge=not pool.tuning.hedges_in_turn)
+    return []
 
 
 def _dispatch(pool: Pool, now: float) -> list[PoolAction]:
@@ -301,6 +305,14 @@
         now,
         is_alone=view.reserved_for == job.part.id,
     )
+    evidence = Evidence(
+        view.in_flight,
+        view.others,
+        now - view.load_at,
+        view.latency_s,
+        now - view.latency_at,
+        now - job.arrived_at,
+    )
     connection.state = ConnectionState.BUSY
     connection.attempt_id = attempt.id
     view.in_flight += 1
@@ -318,7 +330,7 @@
     timeout_s = job.deadline - now
     return [
         Send(connection.id, attempt.id, job.part, timeout_s),
-        Chosen(job.part, view.upstream.id, job.sends, is_hedge),
+        Chosen(job.part, view.upstream.id, job.sends, is_hedge, evidence),
     ]
 
 
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -25,8 +25,10 @@
     "Connect",
     "ConnectionClosed",
     "ConnectionOpened",
+    "Denied",
     "Disconnect",
     "ErrorReply",
+    "Evidence",
     "HealthReported",
     "Leased",
     "NotRunReply",
@@ -279,6 +281,35 @@
     verdict: Verdict
 
 
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What decided the choice of an upstream.
+
+    Attributes:
+        in_flight: Own copies there before the choice.
+        others: Requests of other entries there, by its newest report.
+        load_age_s: Age of that report in seconds; infinite without one.
+        answer_s: Learnt answer time in seconds.
+        answer_age_s: Age of the newest answer in seconds; infinite without.
+        waited_s: Time that the part waited in the pool, in seconds.
+    """
+
+    in_flight: int
+    others: float
+    load_age_s: float
+    answer_s: float
+    answer_age_s: float
+    waited_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """Log that a part has no second copy yet, for lack of a budget."""
+
+    part: Part
+    tokens: float
+
+
 @dataclass(frozen=True, slots=True)
 class Chosen:
     """Log that an upstream was chosen for a copy."""
@@ -287,6 +318,7 @@
     upstream_id: str
     sends: int
     is_hedge: bool
+    evidence: Evidence
 
 
 @dataclass(frozen=True, slots=True)
@@ -325,6 +357,7 @@
     | CancelAttempt
     | Blame
     | Chosen
+    | Denied
     | Silent
     | Changed
     | Observed
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -121,6 +121,7 @@
     has_run: bool = False
     refusals: int = 0
     warm_only: bool = False
+    is_denied: bool = False
     last_reason: Reason = Reason.NO_UPSTREAM
     last_response: UpstreamResponse | None = None
 
--- a/berylspool/version/pool/task.py
+++ b/berylspool/version/pool/task.py
@@ -1,11 +1,13 @@
 """The pool task: it owns a pool's state and the tasks of its connections."""
 
 import asyncio
+import math
 from collections.abc import Callable
 from typing import Any, Protocol
 
 from berylspool.common.event import (
     Event,
+    HedgeDenied,
     PartChosen,
     RequestBlamed,
     SilentReplaced,
@@ -21,6 +23,7 @@
     Changed,
     Chosen,
     Connect,
+    Denied,
     Disconnect,
     Observed,
     PoolAction,
@@ -37,6 +40,10 @@
 __all__ = ["ConnectionTask", "PoolTask", "Transport"]
 
 
+MS_PER_S = 1000.0
+UNKNOWN_MS = -1
+
+
 class ConnectionTask(Protocol):
     """Task that owns one connection to an upstream."""
 
@@ -149,6 +156,8 @@
                 self._cancel(action)
             case Chosen():
                 self._log_chosen(action)
+            case Denied(part=part, tokens=tokens):
+                self._log(HedgeDenied(part.id, part.service, round(tokens, 2)))
             case Silent():
                 self._log(
                     SilentReplaced(
@@ -174,6 +183,7 @@
             connection.inbox.put(action)
 
     def _log_chosen(self, action: Chosen) -> None:
+        evidence = action.evidence
         self._log(
             PartChosen(
                 action.part.id,
@@ -182,6 +192,12 @@
                 action.upstream_id,
                 action.sends,
                 action.is_hedge,
+                evidence.in_flight,
+                evidence.others,
+                _age_ms(evidence.load_age_s),
+                round(evidence.answer_s * MS_PER_S, 1),
+                _age_ms(evidence.answer_age_s),
+                round(evidence.waited_s * MS_PER_S, 1),
             )
         )
 
@@ -230,3 +246,8 @@
         for watch in self._watch_by_upstream.values():
             if watch is not None:
                 watch.inbox.put(Shut())
+
+
+def _age_ms(age_s: float) -> int:
+    """Return an age for a log line; what was never seen has none."""
+    return round(age_s * MS_PER_S) if math.isfinite(age_s) else UNKNOWN_MS
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -23,9 +23,11 @@
 from berylspool.version.pool.message import (
     AttemptAnswered,
     CancelAttempt,
+    Chosen,
     Connect,
     ConnectionClosed,
     ConnectionOpened,
+    Denied,
     ErrorReply,
     NotRunReply,
     PartArrived,
@@ -362,3 +364,26 @@
     [connection] = view.connection_by_id.values()
     driven.feed(ConnectionClosed(connection.id, NEAR.id), 0.0)
     assert next_wake(driven.pool, 0.0) == pytest.approx(view.reopen_delay_s)
+
+
+def test_a_hedge_that_the_budget_denies_is_told_once_with_the_balance():
+    driven = Driven(extra=0.5)
+    driven.feed(PartArrived(make_part(1, hedge_after_s=0.05)), 0.0)
+    for moment in (0.06, 0.12, 0.18):
+        driven.feed(Woken(), moment)
+    told = [a for a in driven.others if isinstance(a, Denied)]
+    assert [a.part.id for a in told] == ["p1"]
+    assert told[0].tokens < 1.0
+
+
+def test_a_choice_is_told_with_what_decided_it_and_its_age():
+    driven = Driven((NEAR,))
+    driven.feed(PartArrived(make_part(1)), 0.0)
+    load = ReportedLoad(2, 1, 3)
+    driven.answer(driven.sent[0], RowsReply(SNAPSHOT, ()), 0.02, load)
+    driven.feed(PartArrived(make_part(2)), 0.05)
+    first, second = [a for a in driven.others if isinstance(a, Chosen)]
+    assert first.evidence.load_age_s == float("inf")
+    assert second.evidence.load_age_s == pytest.approx(0.03)
+    assert second.evidence.others == 3
+    assert second.evidence.answer_age_s == pytest.approx(0.03)
