One table for entries that start together

Change: a table waits until nobody has come or gone for 0.3 s, 1 s at most.

Ruled out: the list of upstreams; it was whole from its first reading.

--- a/berylspool/process/control/membership.py
+++ b/berylspool/process/control/membership.py
@@ -28,7 +28,10 @@
 
 EPOCHS_PER_TERM = 1 << 24
 LEASE_MARGIN_S = 1.0
+# Entries that start together are heard within a second; each table of some of
+# them would be a change for all.
 CALM_S = 0.3
+LONGEST_CALM_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +108,8 @@
         view_by_name: Entries that were heard.
         pending_epoch: Table that was proposed to the log but not seated.
         differs_since: Moment since when the entries differ from the table.
+        wanted: Names of the entries that the next table would hold.
+        wanted_since: Moment since when they are these.
     """
 
     lease_s: float
@@ -115,6 +120,8 @@
     view_by_name: dict[str, EntryView] = field(default_factory=dict)
     pending_epoch: int = 0
     differs_since: float | None = None
+    wanted: frozenset[str] = frozenset()
+    wanted_since: float = 0.0
 
 
 def step(
@@ -285,7 +292,11 @@
         return []
     if membership.differs_since is None:
         membership.differs_since = now
-    if now - membership.differs_since < CALM_S:
+    if wanted.keys() != membership.wanted:
+        membership.wanted = frozenset(wanted)
+        membership.wanted_since = now
+    is_calm = now - membership.wanted_since >= CALM_S
+    if not is_calm and now - membership.differs_since < LONGEST_CALM_S:
         return []
     membership.differs_since = None
     epoch = _next_epoch(membership, newest)
