Pauses are learnt from losses in a row; a process ends at once when all is done

And 7 of 24 stopped processes were still there at the end of the grace time.

Ruled out for the exits: requests in flight, which end before the deadline of the drain.

Change: two losses in a row with no success after as long a pause are needed. After the last answer a role leaves without taking hundreds of connections and the interpreter apart.

Conclusion: the cause of the failures themselves is still to be traced.

--- a/berylspool/platform/__main__.py
+++ b/berylspool/platform/__main__.py
@@ -5,6 +5,7 @@
 """
 
 import gc
+import os
 import sys
 import time
 from collections.abc import Coroutine
@@ -53,6 +54,9 @@
 
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(role)
+        # All is answered, synced and written; taking the interpreter and some
+        # hundred connections apart would use up the time to stop.
+        os._exit(0)
 
 
 def main(arguments: list[str]) -> int:
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -64,7 +64,7 @@
         view.is_draining = False
     latency_s = now - attempt.sent_at
     if view is not None:
-        _note_use(view, event.connection_id, now)
+        _note_use(pool, view, event.connection_id, attempt, now)
         _learn(view, event.reply, latency_s, now)
         if event.load is not None:
             view.note_load(event.load, now)
@@ -99,12 +99,22 @@
     return []
 
 
-def _note_use(view: UpstreamView, connection_id: int, now: float) -> None:
+def _note_use(
+    pool: Pool,
+    view: UpstreamView,
+    connection_id: int,
+    attempt: Attempt,
+    now: float,
+) -> None:
     """Note that an upstream has answered on a connection."""
     connection = view.connection_by_id.get(connection_id)
-    if connection is not None:
-        connection.since = now
-        connection.has_answered = True
+    if connection is None:
+        return
+    if attempt.sent_at - connection.since >= pool.lost_idle_s:
+        # So pauses are not what connections were lost by.
+        pool.idle_losses, pool.lost_idle_s = 0, float("inf")
+    connection.since = now
+    connection.has_answered = True
 
 
 def _outrun(pool: Pool, job: Job, attempt: Attempt, now: float) -> Observed:
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -147,6 +147,9 @@
         idle_limit_s: Time after which upstreams forget idle connections, as
             far as was seen, in seconds.
         idle_limit_until: Moment until which that is believed.
+        idle_losses: Connections that were lost by what was sent on them after
+            a pause, since one was of use after as long a pause.
+        lost_idle_s: Shortest of those pauses, in seconds.
     """
 
     service: str
@@ -165,6 +168,8 @@
     arrived_at: float | None = None
     idle_limit_s: float = float("inf")
     idle_limit_until: float = float("-inf")
+    idle_losses: int = 0
+    lost_idle_s: float = float("inf")
     serial: int = 0
     mean_s: float = FIRST_MEAN_S
     budget: Budget = field(init=False)
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -52,6 +52,8 @@
 # Connections that were idle for less are lost for other reasons.
 SHORTEST_IDLE_S = 0.05
 IDLE_SHARE = 0.7
+# Lost answers of one in thirty, twice in a row, are one in a thousand.
+IDLE_LOSSES = 2
 IDLE_LIMIT_KEPT_S = 15.0
 # Callers that are still there send again within a few seconds; those of an
 # entry that has had none for longer wait for a connection once.
@@ -119,8 +121,9 @@
 ) -> None:
     """Learn from a connection that was lost how many, and for how long.
 
-    One that was reset before it was of any use is one too many; one that was
-    reset at once by what was sent on it had been idle for too long.
+    One that was reset before it was of any use is one too many. Those that are
+    lost one after the other by what was sent on them after a pause had been
+    idle for too long; single ones are lost for other reasons.
     """
     if connection.state in (ConnectionState.OPENING, ConnectionState.RETIRED):
         return
@@ -131,10 +134,12 @@
     if sent_at is None or now - sent_at > RESET_S:
         return
     idle_s = sent_at - connection.since
-    if idle_s > SHORTEST_IDLE_S:
-        is_believed = now < pool.idle_limit_until
-        held_s = pool.idle_limit_s if is_believed else float("inf")
-        pool.idle_limit_s = min(held_s, idle_s * IDLE_SHARE)
+    if idle_s <= SHORTEST_IDLE_S:
+        return
+    pool.idle_losses += 1
+    pool.lost_idle_s = min(pool.lost_idle_s, idle_s)
+    if pool.idle_losses >= IDLE_LOSSES:
+        pool.idle_limit_s = pool.lost_idle_s * IDLE_SHARE
         pool.idle_limit_until = now + IDLE_LIMIT_KEPT_S
 
 
