--- a/berylspool/version/pool/aperture.py
+++ b/berylspool/version/pool/aperture.py
@@ -14,7 +14,7 @@
 from berylspool.request.fingerprint import ticket
 from berylspool.version.configuration import Upstream
 
-__all__ = ["choose_aperture", "connection_share"]
+__all__ = ["choose_aperture", "connection_share", "fraction"]
 
 # The rest is for hedges beyond the subset, and for the unevenness of hashing.
 KEPT_SHARE = 0.85
@@ -35,6 +35,11 @@
     return connections * KEPT_SHARE / max(1, sharers)
 
 
+def fraction(text: str) -> float:
+    """Return a number in [0, 1) that is uniform over texts."""
+    return ticket(text) / TICKETS
+
+
 def choose_aperture(
     entry: str, zone: str, upstreams: Iterable[Upstream], share: float
 ) -> frozenset[str]:
@@ -62,9 +67,8 @@
     by_id = {upstream.id: upstream for upstream in upstreams}
     if share >= 1.0 or not by_id:
         return frozenset(by_id)
-    names = entry + "".join(sorted(by_id))
-    fraction = ticket(names) / TICKETS
-    count = max(1, int(share * len(by_id) + fraction))
+    part = fraction(entry + "".join(sorted(by_id)))
+    count = max(1, int(share * len(by_id) + part))
     ranked = sorted(
         by_id.values(),
         key=lambda upstream: (
