Copies are shared by the entries that have requests; idle closes are no losses

Change: heartbeats say whether an entry has had requests lately, grants how many have; the slack is divided by that number, rounded up, and by all entries until a leader has listened for 5 s. An idle connection that its upstream closes is a planned end.

Tests of the count, of its first seconds and of the shares, which fail before.

--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -68,6 +68,7 @@
         listing_epoch: Epoch of the listing of upstreams that it has.
         listing_serial: Serial of that listing.
         convicted: Fingerprints of requests that it does not send any more.
+        is_busy: Whether it has had requests lately.
     """
 
     member: Member
@@ -81,6 +82,7 @@
     listing_epoch: int = 0
     listing_serial: int = 0
     convicted: tuple[str, ...] = ()
+    is_busy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +96,7 @@
         table_epoch: Newest table, active or proposed.
         controls: Names of the control nodes that vote.
         convicted: Fingerprints that some entry has convicted.
+        busy: Entries that have had requests lately; 0 if not known yet.
     """
 
     sent_at: float
@@ -102,6 +105,7 @@
     table_epoch: int
     controls: tuple[str, ...] = ()
     convicted: tuple[str, ...] = ()
+    busy: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -183,7 +183,10 @@
 
     def eof_received(self) -> bool:
         response = self._response
-        if response.status and not response.has_length:
+        if self._owner.is_idle:
+            # The upstream's own timeout, which says nothing of its health.
+            self._owner.end_planned()
+        elif response.status and not response.has_length:
             self._owner.received(response)
         return False
 
@@ -326,8 +329,7 @@
         if self._is_dirty or not response.has_length:
             self.end()
         elif response.get("connection").lower() == "close":
-            self._is_planned = True
-            self.end()
+            self.end_planned()
 
     def _note_keep_alive(self, response: Response) -> None:
         for item in response.get("keep-alive").split(","):
@@ -335,6 +337,11 @@
             if name == "timeout" and value.isdigit():
                 self._idle_s = max(float(value), 2 * IDLE_MARGIN_S)
 
+    def end_planned(self) -> None:
+        """End the task, as the upstream has announced."""
+        self._is_planned = True
+        self.end()
+
     def end(self) -> None:
         """End the task."""
         self.inbox.put(Shut())
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -23,8 +23,10 @@
 __all__ = [
     "Distribution",
     "answers_to",
+    "busy_entries",
     "configuration_since",
     "heard",
+    "keep_busy",
     "keep_convicted",
     "keep_delta",
     "keep_listing",
@@ -41,6 +43,10 @@
 KEPT_TABLES = 50
 # Entries name what they have convicted in each heartbeat.
 FORGET_S = 10.0
+# Callers that went on to another entry are counted at both for so long. A
+# leader that has not heard for as long does not know who is busy.
+BUSY_KEPT_S = 5.0
+BUSY_STEPS = 4
 
 
 @dataclass(slots=True)
@@ -53,12 +59,16 @@
         listing: Newest listing of upstreams; serial 0 before the first.
         convicted_at: When entries last named a fingerprint as convicted,
             monotonic seconds.
+        busy_at: When each entry last said that it has requests, likewise.
+        since: Moment of the first heartbeat, likewise.
     """
 
     deltas: list[DeltaSent] = field(default_factory=list)
     table_by_epoch: dict[int, MemberTable] = field(default_factory=dict)
     listing: Listing = Listing()
     convicted_at: dict[str, float] = field(default_factory=dict)
+    busy_at: dict[str, float] = field(default_factory=dict)
+    since: float | None = None
 
 
 def keep_delta(distribution: Distribution, delta: DeltaSent) -> None:
@@ -152,6 +162,35 @@
         del kept[fingerprint]
 
 
+def keep_busy(distribution: Distribution, beat: Heartbeat, now: float) -> None:
+    """Keep which entries have requests."""
+    if distribution.since is None:
+        distribution.since = now
+    kept = distribution.busy_at
+    if beat.is_busy:
+        kept[beat.member.name] = now
+    for name in [n for n, at in kept.items() if now - at > BUSY_KEPT_S]:
+        del kept[name]
+
+
+def busy_entries(distribution: Distribution, now: float) -> int:
+    """Return how many entries have requests; 0 if that is not known yet.
+
+    The number is rounded up, so that entries change their shares seldom.
+
+    Examples:
+        >>> state = Distribution(busy_at={"a": 9.0, "b": 9.0}, since=0.0)
+        >>> busy_entries(state, 3.0), busy_entries(state, 9.0)
+        (0, 2)
+    """
+    if distribution.since is None or now - distribution.since < BUSY_KEPT_S:
+        return 0
+    count = 1
+    while count < len(distribution.busy_at):
+        count += 1 + count // BUSY_STEPS
+    return count
+
+
 def heard(beat: Heartbeat) -> Heard:
     """Return what the membership needs of a heartbeat."""
     return Heard(
@@ -169,6 +208,7 @@
     state: ControlState,
     lease_s: float,
     controls: tuple[str, ...] = (),
+    busy: int = 0,
 ) -> list[Answer]:
     """Return what a leader with a quorum answers to a heartbeat.
 
@@ -178,6 +218,7 @@
         state: Replicated state.
         lease_s: Length of a lease in seconds.
         controls: Names of the control nodes that vote.
+        busy: Entries that have requests; 0 if not known.
 
     Returns:
         What the entry lacks, and then the lease.
@@ -200,5 +241,6 @@
         table.epoch,
         controls,
         tuple(distribution.convicted_at),
+        busy,
     )
     return [*answers, grant]
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -12,6 +12,8 @@
 from berylspool.process.control.distribution import (
     Distribution,
     answers_to,
+    busy_entries,
+    keep_busy,
     keep_convicted,
     keep_delta,
     keep_listing,
@@ -43,8 +45,10 @@
         self._session_by_id[session.id] = session
         keep_convicted(self._distribution, beat.convicted, now)
         if not self._replica.has_quorum_contact():
+            self._distribution.since = None
             session.inbox.put(NotLeader(self._replica.leader))
             return
+        keep_busy(self._distribution, beat, now)
         voters = self._replica.node.group.voters
         for message in answers_to(
             self._distribution,
@@ -52,6 +56,7 @@
             self._replica.state,
             self._lease_s,
             tuple(name_of(id) for id in voters),
+            busy_entries(self._distribution, now),
         ):
             session.inbox.put(message)
 
--- a/berylspool/process/entry/accounts.py
+++ b/berylspool/process/entry/accounts.py
@@ -5,11 +5,21 @@
 from berylspool.common.event import Event, RequestEnded
 from berylspool.common.metric import Metrics, count, record_latency
 from berylspool.request.fanout import Pinned
-from berylspool.request.query import Answer, Outcome, Query, Refusal
+from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
+from berylspool.version.containment import (
+    Containment,
+    note_answer,
+    note_loss,
+)
 from berylspool.version.forwarding import ForwardRoute
-from berylspool.version.pool.message import Observed, OutrunReply
+from berylspool.version.pool.message import (
+    ErrorReply,
+    Observed,
+    OutrunReply,
+    RowsReply,
+)
 
-__all__ = ["count_reply", "end_request", "refuse_request"]
+__all__ = ["contain", "count_reply", "end_request", "refuse_request"]
 
 NO_ROUTE = "none"
 
@@ -22,6 +32,16 @@
         count(metrics, "berylspool_hedges_total", service=service)
 
 
+def contain(state: Containment, observed: Observed, now: float) -> None:
+    """Note what a reply says of a request that may crash upstreams."""
+    blamed, upstream = observed.part.fingerprint, observed.upstream_id
+    match observed.reply:
+        case ErrorReply(reason=Reason.CONNECTION_LOST):
+            note_loss(state, blamed, upstream, now)
+        case RowsReply() | ErrorReply():
+            note_answer(state, blamed, now)
+
+
 def refuse_request(
     metrics: Metrics,
     log: Callable[[Event], None],
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -104,6 +104,8 @@
         listed: Takes each listing of upstreams.
         convicted: Returns the fingerprints that are not sent any more.
         adopted: Takes the fingerprints that any entry has convicted.
+        is_busy: Returns whether the entry has had requests lately.
+        shared: Takes the number of entries that have; 0 if not known.
         peer_port: Port of control nodes that are named by their address;
             None if the settings name all of them.
     """
@@ -123,6 +125,8 @@
         listed: Callable[[Listing], None] = lambda listing: None,
         convicted: Callable[[], tuple[str, ...]] = lambda: (),
         adopted: Callable[[tuple[str, ...]], None] = lambda found: None,
+        is_busy: Callable[[], bool] = lambda: False,
+        shared: Callable[[int], None] = lambda busy: None,
         peer_port: int | None = None,
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
@@ -138,6 +142,8 @@
         self._listed = listed
         self._convicted = convicted
         self._adopted = adopted
+        self._is_busy = is_busy
+        self._shared = shared
         self._listing = Listing()
         self._granted_at = float("-inf")
         self._is_addressed = peer_port is not None
@@ -196,6 +202,7 @@
             self._listing.epoch,
             self._listing.serial,
             self._convicted(),
+            self._is_busy(),
         )
 
     def _beat(self) -> None:
@@ -293,6 +300,7 @@
         """Take a lease, if this entry has what it is for."""
         self._leader = node
         self._granted_at = self._clock()
+        self._shared(grant.busy)
         if grant.convicted:
             self._adopted(grant.convicted)
         if grant.controls and self._is_addressed:
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -20,6 +20,7 @@
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError
 from berylspool.process.entry.accounts import (
+    contain,
     count_reply,
     end_request,
     refuse_request,
@@ -59,8 +60,6 @@
     expire,
     is_convicted,
     judge,
-    note_answer,
-    note_loss,
 )
 from berylspool.version.forwarding import (
     ForwardPlan,
@@ -71,9 +70,7 @@
 )
 from berylspool.version.pool.message import (
     Blame,
-    ErrorReply,
     Observed,
-    RowsReply,
 )
 from berylspool.version.pool.suspicion import Verdict
 from berylspool.version.pool.task import Transport
@@ -97,6 +94,8 @@
 NO_PLAN_RETRY_S = 0.7
 # A process that starts while control leads is informed within this time.
 START_WAIT_S = 0.4
+# A few times the pause of a caller that is still there.
+BUSY_S = 2.0
 # Callers have to have time left for a second try elsewhere.
 START_WAIT_SHARE = 0.25
 
@@ -161,6 +160,7 @@
         )
         self._clock = clock
         self._serial = 0
+        self._asked_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._containment = Containment()
         self._is_done = False
@@ -186,6 +186,8 @@
             listed=self.in_force.list,
             convicted=lambda: tuple(self._containment.convicted_at),
             adopted=self._adopt,
+            is_busy=self._is_busy,
+            shared=self.in_force.share_copies,
             peer_port=peer_port,
         )
 
@@ -194,6 +196,9 @@
         """Whether new connections are welcome."""
         return self.in_force.is_known.is_set() and not self.is_closing
 
+    def _is_busy(self) -> bool:
+        return self._clock() - self._asked_at < BUSY_S
+
     def reload(self, settings: Settings) -> None:
         """Take over settings that have changed: which nodes to ask."""
         self.settings = settings
@@ -221,7 +226,7 @@
         Returns:
             An answer or a refusal, no later than the deadline.
         """
-        started = self._clock()
+        started = self._asked_at = self._clock()
         if not self.in_force.is_known.is_set():
             await self._wait_for_plan(request)
         view = self.in_force.view.value
@@ -296,18 +301,9 @@
 
     def _observed(self, observed: Observed) -> None:
         observe(self.book, observed)
-        self._contain(observed)
+        contain(self._containment, observed, self._clock())
         count_reply(self.metrics, observed)
 
-    def _contain(self, observed: Observed) -> None:
-        state, now = self._containment, self._clock()
-        blamed, upstream = observed.part.fingerprint, observed.upstream_id
-        match observed.reply:
-            case ErrorReply(reason=Reason.CONNECTION_LOST):
-                note_loss(state, blamed, upstream, now)
-            case RowsReply() | ErrorReply():
-                note_answer(state, blamed, now)
-
     def _adopt(self, fingerprints: tuple[str, ...]) -> None:
         now = self._clock()
         self._convict(adopt(self._containment, fingerprints, now))
--- a/berylspool/process/entry/in_force.py
+++ b/berylspool/process/entry/in_force.py
@@ -51,6 +51,7 @@
         self.listing = Listing()
         self.listed_at = clock()
         self.entries = 0
+        self.busy = 0
         self.is_known = asyncio.Event()
         self.settings = settings
         self._decode = decode
@@ -77,6 +78,12 @@
         self.listed_at = self._clock()
         self._refresh_soon()
 
+    def share_copies(self, busy: int) -> None:
+        """Take the number of entries that have requests; 0 if not known."""
+        if busy != self.busy:
+            self.busy = busy
+            self._refresh_soon()
+
     def share(self, entries: int) -> None:
         """Take the number of entries that share the upstreams."""
         if entries != self.entries:
@@ -106,6 +113,7 @@
             routing.extra_window_s,
             routing.cold_factor,
             routing.cold_slack,
+            min(self.busy or self.entries, self.entries),
         )
         self._changed(
             assemble(self._revision, plan, self.listing, self.stated, bounds)
--- a/berylspool/process/entry/tests/test_in_force.py
+++ b/berylspool/process/entry/tests/test_in_force.py
@@ -55,3 +55,20 @@
     assert is_known
     shares = [c.service_by_name["s"].limits.connections for c in assembled]
     assert shares == [CONNECTIONS // 20]
+
+
+def test_only_entries_with_requests_share_the_copies():
+    _, assembled = play(
+        [
+            state,
+            list_upstreams,
+            lambda in_force: in_force.share(20),
+            lambda in_force: in_force.share_copies(10),
+            lambda in_force: in_force.share_copies(10),
+            lambda in_force: in_force.share_copies(0),
+        ]
+    )
+    copies = [c.service_by_name["s"].limits.extra_copies for c in assembled]
+    assert copies == [copies[0], 2 * copies[0], copies[0]]
+    connections = [c.service_by_name["s"].limits.connections for c in assembled]
+    assert connections == [CONNECTIONS // 20] * 3
--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -83,6 +83,7 @@
         extra_window_s: Length of that window, in seconds.
         cold_factor: Times the stated rate that a cold upstream may get.
         cold_slack: Requests in any second beyond that.
+        busy: Entries that have requests, and so share the copies; 0 if all.
     """
 
     entries: int = 1
@@ -90,6 +91,7 @@
     extra_window_s: float = 10.0
     cold_factor: float = 1.0
     cold_slack: float = 0.0
+    busy: int = 0
 
 
 def difference(
@@ -185,6 +187,7 @@
     """Return what one entry may do to an upstream of a service."""
     sharers = max(1, sharing.entries)
     share = connection_share(service.connections, sharers)
+    extra_copies = sharing.extra_copies / max(1, sharing.busy or sharers)
     # Callers are spread unevenly, so a busy entry may go beyond its share.
     least = 1 if share >= 1.0 else BUSY_CONNECTIONS
     return Limits(
@@ -192,11 +195,8 @@
         connections=max(least, service.connections // sharers),
         cold_slots=slots,
         ramp_s=0.0,
-        extra_copies=SAVED_SHARE * sharing.extra_copies / sharers,
-        extra_per_s=(1.0 - SAVED_SHARE)
-        * sharing.extra_copies
-        / sharers
-        / sharing.extra_window_s,
+        extra_copies=SAVED_SHARE * extra_copies,
+        extra_per_s=(1.0 - SAVED_SHARE) * extra_copies / sharing.extra_window_s,
         cold_s=service.cold_s,
         cold_per_s=cold_rate(service.cold_per_s, sharing),
         share=share,
