Thin answers are given earlier by what a busy process lags

Ruled out: a wider fixed margin, which small and idle processes would pay for.

Change: an entry learns how late its timers fire and answers so much earlier.

--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -31,6 +31,7 @@
     Leave,
 )
 from berylspool.process.entry.in_force import InForce
+from berylspool.process.entry.lag import Lag, note_lag, send_early_s
 from berylspool.process.entry.router import Router
 from berylspool.process.entry.routing import Routing
 from berylspool.process.entry.routing_message import (
@@ -160,6 +161,7 @@
         )
         self._clock = clock
         self._serial = 0
+        self._lag = Lag()
         self._asked_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._containment = Containment()
@@ -239,7 +241,8 @@
             return self._refuse(refusal)
         self._serial += 1
         share = self.settings.routing.hedge_share
-        query = query_of(request, route, self._serial, share, started)
+        early_s = send_early_s(self._lag, route.target_s)
+        query = query_of(request, route, self._serial, share, early_s, started)
         if is_convicted(self._containment, query.fingerprint):
             return self._refuse(
                 Refusal(request.id, Reason.QUARANTINED, True, QUARANTINE_S)
@@ -289,6 +292,8 @@
         finally:
             self.in_flight -= 1
             watcher.cancel()
+            if task.target_lag_s is not None:
+                note_lag(self._lag, task.target_lag_s)
 
     async def _wait_for_plan(self, request: ForwardRequest) -> None:
         """Wait a little, as a process that starts is informed soon."""
--- a/berylspool/request/serve.py
+++ b/berylspool/request/serve.py
@@ -36,12 +36,17 @@
         query: The validated request.
         router: Mailbox of the router of the entry.
         clock: Monotonic time in seconds.
+
+    Attributes:
+        target_lag_s: How late it noticed that the target had passed, in
+            seconds; None if it did not have to.
     """
 
     def __init__(
         self, query: Query, router: Mailbox[Any], clock: Callable[[], float]
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
+        self.target_lag_s: float | None = None
         self._query = query
         self._router = router
         self._clock = clock
@@ -81,8 +86,11 @@
         return max(0.0, moment - now)
 
     def _timed_out(self) -> DeadlinePassed | TargetPassed:
-        if self._clock() >= self._query.deadline:
+        now = self._clock()
+        if now >= self._query.deadline:
             return DeadlinePassed()
+        if self._query.answer_by is not None:
+            self.target_lag_s = max(0.0, now - self._query.answer_by)
         return TargetPassed()
 
     def _apply(self, state: FanOut, events: list[Any]) -> Outcome | None:
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -35,8 +35,6 @@
 ]
 
 STABLE = ""
-# The way to the caller and back, and the answer's way through the process.
-ANSWER_MARGIN_S = 0.02
 # Requests of callers that do not say how long they will wait.
 LONGEST_S = 60.0
 
@@ -214,6 +212,7 @@
     route: ForwardRoute,
     serial: int,
     hedge_share: float,
+    early_s: float,
     now: float,
 ) -> Query:
     """Return the query that a request of a route makes.
@@ -224,6 +223,8 @@
         serial: Number that no other request of this process has.
         hedge_share: Share of the target latency after which a second copy
             is sent.
+        early_s: How long before the target latency an answer has to be given,
+            in seconds.
         now: Monotonic time in seconds.
 
     Returns:
@@ -242,7 +243,7 @@
     )
     answer_by = None
     if route.is_fan_out and route.target_s:
-        answer_by = now + max(route.target_s - ANSWER_MARGIN_S, 0.0)
+        answer_by = now + max(route.target_s - early_s, 0.0)
     id = f"{request.id}~{serial}"
     return Query(
         id=id,
