No connection before there is a use for it; the soak draws its ports at once

Ruled out: half the subset at all times; a hedge would wait for a handshake.

Change: where upstreams accept fewer connections than all entries would keep, an entry opens them with its first part. The spreading is taken out again.

Two processes had the same port: proxies asked the kernel for ports while others were drawn but not open yet. All are drawn at once now.

--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -143,8 +143,8 @@
         lease_until: No new copy is sent from this moment on, monotonic
             seconds.
         is_closing: Whether the pool takes no new parts.
-        arrived_at: Moment of the newest part, or of the start.
-        opens_at: Moment from which connections are opened in advance.
+        arrived_at: Moment of the newest part; of the start, where there is
+            room for connections of all entries.
         idle_limit_s: Time after which upstreams forget idle connections, as
             far as was seen, in seconds.
         idle_limit_until: Moment until which that is believed.
@@ -167,7 +167,6 @@
     lease_until: float = float("inf")
     is_closing: bool = False
     arrived_at: float | None = None
-    opens_at: float = float("-inf")
     idle_limit_s: float = float("inf")
     idle_limit_until: float = float("-inf")
     idle_losses: int = 0
--- a/berylspool/version/pool/timing.py
+++ b/berylspool/version/pool/timing.py
@@ -22,8 +22,6 @@
     """Return how long the pool's task may sleep, in seconds."""
     moments = [now + (REST_WAKE_S if _is_at_rest(pool) else BUSY_WAKE_S)]
     _drop_timers_of_ended(pool)
-    if pool.opens_at > now:
-        moments.append(pool.opens_at)
     if pool.timers:
         moments.append(pool.timers[0][0])
     moments.extend(
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.pool.aperture import choose_aperture, fraction
+from berylspool.version.pool.aperture import choose_aperture
 from berylspool.version.pool.attempt import on_attempt_lost
 from berylspool.version.pool.message import (
     Changed,
@@ -55,9 +55,6 @@
 # Lost answers of one in thirty, twice in a row, are one in a thousand.
 IDLE_LOSSES = 2
 IDLE_LIMIT_KEPT_S = 15.0
-# A hundred entries that start together would keep the slots of an upstream
-# busy with handshakes for some tenths of a second.
-SPREAD_S = 2.0
 # Callers that are still there send again within a few seconds; those of an
 # entry that has had none for longer wait for a connection once.
 UNUSED_S = 10.0
@@ -151,12 +148,8 @@
 ) -> list[PoolAction]:
     """Take over the upstreams that may get new work."""
     tuning = pool.tuning
-    if pool.arrived_at is None:
+    if pool.arrived_at is None and limits.share >= 1.0:
         pool.arrived_at = now
-        if limits.share < 1.0:
-            pool.opens_at = now + SPREAD_S * fraction(
-                tuning.entry + pool.service
-            )
     if limits.extra_copies is not None:
         cap(pool.budget, limits.extra_copies, limits.extra_per_s)
     wanted = {upstream.id: upstream for upstream in upstreams}
@@ -230,8 +223,8 @@
     if pool.is_closing:
         return actions
     jobs = _waiting_jobs(pool)
-    arrived_at = now if pool.arrived_at is None else pool.arrived_at
-    is_used = pool.opens_at <= now < arrived_at + UNUSED_S
+    arrived_at = pool.arrived_at
+    is_used = arrived_at is not None and now - arrived_at < UNUSED_S
     for view in _in_order(pool, jobs, now):
         if not jobs and (view.connection_by_id or not is_used):
             # The usual case: nothing waits and all are connected.
--- a/soak/run.py
+++ b/soak/run.py
@@ -90,13 +90,26 @@
             self.running.start_control(name)
 
 
-def with_free_ports(settings: dict[str, Any]) -> dict[str, Any]:
-    """Return settings whose addresses the kernel has chosen."""
+def with_free_ports(
+    settings: dict[str, Any], more: int
+) -> tuple[dict[str, Any], list[int]]:
+    """Return settings whose addresses the kernel has chosen.
+
+    All ports are drawn at once: one that is not open yet may be drawn twice.
+
+    Args:
+        settings: Settings with any addresses.
+        more: Further ports that are needed.
+
+    Returns:
+        The settings, and the further ports.
+    """
     text = json.dumps(settings)
     known = sorted(set(_addresses(settings)), key=len, reverse=True)
-    for address, port in zip(known, free_ports(len(known)), strict=True):
+    ports = free_ports(len(known) + more)
+    for address, port in zip(known, ports, strict=False):
         text = text.replace(f'"{address}"', f'"127.0.0.1:{port}"')
-    return json.loads(text)
+    return json.loads(text), ports[len(known) :]
 
 
 def _addresses(node: Any) -> list[str]:
@@ -120,14 +133,18 @@
     Every entry reaches each upstream and each control node through a proxy
     of its own; upstreams share one proxy over all entries.
     """
-    settings = with_free_ports(yaml.safe_load(EXAMPLE.read_text()))
+    settings = yaml.safe_load(EXAMPLE.read_text())
+    links = len(settings["entries"]) * len(settings["controls"])
+    count = len(_upstreams(settings)) + links
+    settings, ports = with_free_ports(settings, count)
     settings["log"] = {"path": "-", "decisions": False}
     soak = Soak(Deployment(folder, settings))
     soak.running.settings_path.write_text(yaml.safe_dump(settings))
     seen_by_entries = json.loads(json.dumps(settings))
     for name, upstream in _upstreams(seen_by_entries):
         soak.zone_by_upstream[name] = upstream["zone"]
-        upstream["address"] = await _proxy(soak, name, upstream["address"])
+        address = upstream["address"]
+        upstream["address"] = await _proxy(soak, name, address, ports.pop())
     for service in settings["initial"]["services"].values():
         for name in service["upstreams"]:
             soak.slots_by_upstream[name] = service["limits"]["slots"]
@@ -140,14 +157,14 @@
         own = json.loads(json.dumps(control))
         for name, node in own["controls"].items():
             link = f"{entry}>{name}"
-            node["address"] = await _proxy(soak, link, node["address"])
+            address = node["address"]
+            node["address"] = await _proxy(soak, link, address, ports.pop())
         soak.path_of(entry).write_text(yaml.safe_dump(own))
     return soak
 
 
-async def _proxy(soak: Soak, link: str, address: str) -> str:
+async def _proxy(soak: Soak, link: str, address: str, port: int) -> str:
     proxy = Proxy(split_address(address))
-    [port] = free_ports(1)
     await proxy.start(port)
     soak.proxy_by_link[link] = proxy
     return f"127.0.0.1:{port}"
