--- a/bench/forward.py
+++ b/bench/forward.py
@@ -15,13 +15,22 @@
 import orjson
 import uvloop
 
-from berylspool.platform.document import decode_plan, read_document
 from berylspool.platform.upstream import PlatformTransport
 from berylspool.process.entry.forwarder import Forwarder
 from berylspool.process.entry.routing_message import LeaseSet
 from berylspool.process.settings import EntrySettings, Settings
 from berylspool.request.forward import ForwardRequest
-from berylspool.version.configuration import Configuration, Upstream
+from berylspool.version.configuration import (
+    Configuration,
+    Document,
+    Upstream,
+)
+from berylspool.version.forwarding import (
+    ForwardPlan,
+    ForwardRoute,
+    ForwardService,
+    Target,
+)
 from berylspool.version.listing import ListedUpstream, Listing
 
 HOST = "h.example"
@@ -76,22 +85,25 @@
 
 
 def plan_of(services):
-    """Return a published document with one route to all services."""
-    names = list(services)
-    route = {
-        "name": "r",
-        "host": HOST,
-        "path-prefix": "/a/",
-        "route-type": "idempotent",
-        "timeout-ms": int(DEADLINE_S * 1000),
-        "max-attempts": 2,
-        "fanout-services": names,
-        "top-k": 10,
-        "min-shard-ratio": 0.9,
-    }
-    stated = [{"name": n, "max-connections": CONNECTIONS} for n in names]
-    body = {"version": 1, "routes": [route], "services": stated}
-    return read_document(orjson.dumps(body))[0]
+    """Return a plan with one route to all services."""
+    route = ForwardRoute(
+        "r",
+        HOST,
+        "/a/",
+        is_idempotent=True,
+        timeout_s=DEADLINE_S,
+        target_s=0.0,
+        rank=0,
+        attempts=2,
+        targets=(Target(tuple(services)),),
+        top_records=10,
+        min_coverage=0.9,
+    )
+    return ForwardPlan(
+        1,
+        {HOST: (route,)},
+        {name: ForwardService(name, CONNECTIONS) for name in services},
+    )
 
 
 def listing_of(ports):
@@ -107,22 +119,22 @@
 
 async def measure(ports, queries, profile):
     """Return the processor time of a query, in seconds."""
+    services = {f"s{n // COPIES}": None for n in range(len(ports))}
+    plan = plan_of(services)
     entry = EntrySettings(
         address="127.0.0.1:1", peer_address="127.0.0.1:2", zone="z0"
     )
     forwarder = Forwarder(
         "e1",
         Settings(entries={"e1": entry}, controls={}),
-        decode=decode_plan,
+        decode=lambda document: plan,
         transport=PlatformTransport(),
         peer_port=None,
         clock=time.monotonic,
     )
     routing = asyncio.ensure_future(forwarder.router.run())
     forwarder.router.inbox.put(LeaseSet(float("inf")))
-    services = {f"s{n // COPIES}": None for n in range(len(ports))}
-    document = plan_of(services)
-    forwarder.in_force.state(Configuration(1, document=document))
+    forwarder.in_force.state(Configuration(1, document=Document(1)))
     forwarder.in_force.share(1)
     forwarder.in_force.list(listing_of(ports))
     await asyncio.sleep(1.0)
