--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -69,8 +69,6 @@
             up; None for the pool's own figure.
         extra_per_s: Such copies that one entry may send each second beside
             those that it earns by requests.
-        extra_debt: Such copies that one entry may send in the place of failed
-            ones with nothing saved up.
         cold_s: Time for which an upstream is cold after a start, in seconds.
         cold_per_s: Requests a second that one entry may send to a cold
             upstream; None if there is no bound, 0 if it may send none.
@@ -84,7 +82,6 @@
     ramp_s: float = 4.0
     extra_copies: float | None = None
     extra_per_s: float = 0.0
-    extra_debt: float = 0.0
     cold_s: float = 0.0
     cold_per_s: float | None = None
     share: float = 1.0
--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -34,11 +34,9 @@
 
 # Pools need a route that reads each service; plans have routes of their own.
 ALL_SERVICES = "all services"
-# What is saved up, what may be owed and what a window gains can be spent within
-# one window, so the three add up to what the window allows.
-SAVED_SHARE = 0.4
-DEBT_SHARE = 0.2
-GAINED_SHARE = 0.4
+# What is saved up can be spent in one window together with all that the window
+# gains, so the two add up to what the window allows.
+SAVED_SHARE = 0.5
 # Two requests at once are seldom more at an entry that shares with many.
 BUSY_CONNECTIONS = 2
 
@@ -198,8 +196,7 @@
         cold_slots=slots,
         ramp_s=0.0,
         extra_copies=SAVED_SHARE * extra_copies,
-        extra_per_s=GAINED_SHARE * extra_copies / sharing.extra_window_s,
-        extra_debt=DEBT_SHARE * extra_copies,
+        extra_per_s=(1.0 - SAVED_SHARE) * extra_copies / sharing.extra_window_s,
         cold_s=service.cold_s,
         cold_per_s=cold_rate(service.cold_per_s, sharing),
         share=share,
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -198,7 +198,7 @@
         or is_suspect(pool.suspicion, job.part.fingerprint)
     ):
         return []
-    if not withdraw(pool.budget, now, is_hedge=True):
+    if not withdraw(pool.budget, now):
         moment = now + hedge_delay_s(pool, job)
         set_timer(pool, moment, job.part.id, TimerKind.HEDGE)
         is_first, job.is_denied = not job.is_denied, True
--- a/berylspool/version/pool/tail.py
+++ b/berylspool/version/pool/tail.py
@@ -30,8 +30,6 @@
         tokens: Balance.
         per_s: Tokens gained each second, whatever is sent.
         gained_at: Moment of the newest such gain, monotonic seconds.
-        debt: How far below zero the balance may go for a copy in the place of
-            one that failed; those are sure to be needed, hedges are not.
     """
 
     ratio: float
@@ -39,7 +37,6 @@
     tokens: float
     per_s: float = 0.0
     gained_at: float | None = None
-    debt: float = 0.0
 
 
 def deposit(budget: Budget) -> None:
@@ -47,16 +44,13 @@
     budget.tokens = min(budget.most, budget.tokens + budget.ratio)
 
 
-def cap(
-    budget: Budget, most: float, per_s: float = 0.0, debt: float = 0.0
-) -> None:
+def cap(budget: Budget, most: float, per_s: float = 0.0) -> None:
     """Change an entry's share of a budget, as entries come and go.
 
     Args:
         budget: The budget.
         most: Largest balance from now on.
         per_s: Tokens gained each second from now on.
-        debt: Largest debt for copies in the place of failed ones.
 
     Examples:
         >>> budget = Budget(ratio=0.5, most=8.0, tokens=6.0)
@@ -66,17 +60,15 @@
     """
     budget.most = most
     budget.per_s = per_s
-    budget.debt = debt
     budget.tokens = min(budget.tokens, most)
 
 
-def withdraw(budget: Budget, now: float, is_hedge: bool = False) -> bool:
+def withdraw(budget: Budget, now: float) -> bool:
     """Pay for one extra copy.
 
     Args:
         budget: The budget.
         now: Monotonic time in seconds.
-        is_hedge: Whether the copy before may still be answered.
 
     Returns:
         False if the balance is too low; nothing is paid then.
@@ -88,15 +80,12 @@
         >>> budget.per_s = 0.5
         >>> withdraw(budget, 1.0), withdraw(budget, 2.0)
         (False, True)
-        >>> budget.debt = 1.0
-        >>> withdraw(budget, 2.0, is_hedge=True), withdraw(budget, 2.0)
-        (False, True)
     """
     if budget.gained_at is not None:
         gained = (now - budget.gained_at) * budget.per_s
         budget.tokens = min(budget.most, budget.tokens + gained)
     budget.gained_at = now
-    if budget.tokens < (1.0 if is_hedge else 1.0 - budget.debt):
+    if budget.tokens < 1.0:
         return False
     budget.tokens -= 1.0
     return True
--- a/berylspool/version/pool/upkeep.py
+++ b/berylspool/version/pool/upkeep.py
@@ -151,12 +151,7 @@
     if pool.arrived_at is None and limits.share >= 1.0:
         pool.arrived_at = now
     if limits.extra_copies is not None:
-        cap(
-            pool.budget,
-            limits.extra_copies,
-            limits.extra_per_s,
-            limits.extra_debt,
-        )
+        cap(pool.budget, limits.extra_copies, limits.extra_per_s)
     wanted = {upstream.id: upstream for upstream in upstreams}
     kept = choose_aperture(tuning.entry, tuning.zone, upstreams, limits.share)
     for view in pool.view_by_upstream.values():
