An entry of many can afford a hedge again

The tests of the bound did not see it: they ask for no more copies than allowed, not for enough.

The new test, for 62, 78 and 93 entries, fails before.

--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -37,6 +37,8 @@
 # What is saved up can be spent in one window together with all that the window
 # gains, so the two add up to what the window allows.
 SAVED_SHARE = 0.5
+# A balance that cannot reach one whole copy is never spent.
+LEAST_SAVED = 1.0
 # Two requests at once are seldom more at an entry that shares with many.
 BUSY_CONNECTIONS = 2
 
@@ -188,6 +190,7 @@
     sharers = max(1, sharing.entries)
     share = connection_share(service.connections, sharers)
     extra_copies = sharing.extra_copies / max(1, sharing.busy or sharers)
+    saved = min(extra_copies, max(LEAST_SAVED, SAVED_SHARE * extra_copies))
     # Callers are spread unevenly, so a busy entry may go beyond its share.
     least = 1 if share >= 1.0 else BUSY_CONNECTIONS
     return Limits(
@@ -195,8 +198,8 @@
         connections=max(least, service.connections // sharers),
         cold_slots=slots,
         ramp_s=0.0,
-        extra_copies=SAVED_SHARE * extra_copies,
-        extra_per_s=(1.0 - SAVED_SHARE) * extra_copies / sharing.extra_window_s,
+        extra_copies=saved,
+        extra_per_s=(extra_copies - saved) / sharing.extra_window_s,
         cold_s=service.cold_s,
         cold_per_s=cold_rate(service.cold_per_s, sharing),
         share=share,
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -160,6 +160,24 @@
     assert len(copies) > 3 * earned + 39
 
 
+@pytest.mark.parametrize(
+    ("entries", "slack"), [(62, 131), (78, 156), (93, 156)]
+)
+def test_an_entry_of_many_can_afford_a_hedge(entries, slack):
+    plan = ForwardPlan(1, {}, {"s": ForwardService("s", 61)})
+    listing = Listing(1, 1, {"a": listed("a"), "b": listed("b")})
+    sharing = SharedBounds(entries, extra_copies=slack, extra_window_s=10.0)
+    assembled = assemble(1, plan, listing, Configuration(), sharing)
+    limits = assembled.service_by_name["s"].limits
+    assert limits.extra_copies >= 1.0
+    assert limits.extra_copies + 10.0 * limits.extra_per_s <= slack / entries
+    driven = Driven()
+    driven.feed(Reconfigured((NEAR, FAR), limits), 0.0)
+    driven.feed(PartArrived(make_part(1, hedge_after_s=0.05)), 0.0)
+    driven.feed(Woken(), 0.06)
+    assert len(driven.sent) == 2
+
+
 def test_a_refusal_is_paid_from_the_budget_and_stays_true():
     driven = Driven(extra=1.0)
     driven.feed(PartArrived(make_part(1)), 0.0)
