A part without an answer logs its copies when its request ends

Cause: the lines of a thin answer could not tell why a part was missing.

Change: PartAbandoned (2010) names the copies of a part that is still without an answer, what waits and what was denied. A request that ended thin writes the lines of its missing parts, of its last part and of second copies. The log task tries a full pipe again after 50 ms. The pool's actions carry log events as they are written, and the events of parts have a module of their own.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -7,7 +7,6 @@
     "CommandDecided",
     "ConfigurationApplied",
     "Event",
-    "HedgeDenied",
     "LeaderChanged",
     "LeaseChanged",
     "LinesDropped",
@@ -18,7 +17,6 @@
     "ListingFailed",
     "MembersChanged",
     "MoveChanged",
-    "PartChosen",
     "PlanRefused",
     "ProcessStarted",
     "ProcessStopped",
@@ -31,7 +29,6 @@
     "SilentReplaced",
     "StorageFailed",
     "UpstreamChanged",
-    "event_class_by_number",
 ]
 
 
@@ -89,42 +86,6 @@
     lines: int
 
 
-@dataclass(frozen=True, slots=True)
-class PartChosen(Event):
-    """An upstream was chosen for a copy of a part.
-
-    Attributes:
-        part: Id of the part; it begins with the id of the request.
-        service: Service of the part.
-        version: Index version of the pool that sends the part.
-        upstream: Id of the chosen upstream.
-        copy: Number of the copy; 1 is the first.
-        is_hedge: Whether the copy was queued behind first copies.
-        in_flight: Copies that this entry had in flight at the upstream
-            before this one.
-        others: Requests of other entries at the upstream, by its latest
-            load report.
-        load_age_ms: Age of that report in ms; -1 if there is none.
-        answer_ms: Estimated response time of the upstream in ms.
-        answer_age_ms: Age of its latest response in ms; -1 if there is none.
-        waited_ms: Time that the part waited in the pool, in ms.
-    """
-
-    number: ClassVar[int] = 2001
-    part: str
-    service: str
-    version: str
-    upstream: str
-    copy: int
-    is_hedge: bool
-    in_flight: int = 0
-    others: float = 0.0
-    load_age_ms: int = -1
-    answer_ms: float = 0.0
-    answer_age_ms: int = -1
-    waited_ms: float = 0.0
-
-
 @dataclass(frozen=True, slots=True)
 class RequestServed(Event):
     """A request was answered completely and in time; never written itself.
@@ -139,22 +100,6 @@
     request: str
 
 
-@dataclass(frozen=True, slots=True)
-class HedgeDenied(Event):
-    """A slow part was not hedged because the hedge budget is exhausted.
-
-    Attributes:
-        part: Id of the part.
-        service: Service of the part.
-        tokens: Tokens left in the budget.
-    """
-
-    number: ClassVar[int] = 2008
-    part: str
-    service: str
-    tokens: float
-
-
 @dataclass(frozen=True, slots=True)
 class RequestRefused(Event):
     """A caller's request was refused or failed, and has no answer.
@@ -387,13 +332,3 @@
 
     number: ClassVar[int] = 4008
     entry: str
-
-
-def event_class_by_number() -> dict[int, type[Event]]:
-    """Return the event class of each number.
-
-    Examples:
-        >>> event_class_by_number()[1001].__name__
-        'ProcessStarted'
-    """
-    return {cls.number: cls for cls in Event.__subclasses__()}
--- a/berylspool/process/held_lines.py
+++ b/berylspool/process/held_lines.py
@@ -8,7 +8,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from berylspool.common.event import Event
+from berylspool.common.event import Event, RequestEnded
+from berylspool.common.part_event import PartChosen
 
 __all__ = [
     "HeldLine",
@@ -16,6 +17,7 @@
     "hold_line",
     "leave_out_lines",
     "take_lines",
+    "take_relevant_lines",
 ]
 
 # About ten seconds of lines at the highest rate at which choices are logged.
@@ -79,6 +81,29 @@
     return lines
 
 
+def take_relevant_lines(
+    state: HeldLines, ended: RequestEnded
+) -> list[HeldLine]:
+    """Remove the lines of a request and return those that explain its end.
+
+    If services are missing from an answer, or one answered last, the first
+    copies of all other parts are left out.
+    """
+    lines = take_lines(state, ended.request)
+    relevant_services = {*ended.missing, ended.last} - {""}
+    if not relevant_services:
+        return lines
+    relevant = [
+        line
+        for line in lines
+        if not isinstance(line.event, PartChosen)
+        or line.event.copy > 1
+        or line.event.service in relevant_services
+    ]
+    state.left_out += len(lines) - len(relevant)
+    return relevant
+
+
 def leave_out_lines(state: HeldLines, request: str) -> None:
     """Remove the lines of a request, and count them as left out."""
     state.left_out += len(take_lines(state, request))
--- a/berylspool/process/log.py
+++ b/berylspool/process/log.py
@@ -12,20 +12,19 @@
 
 from berylspool.common.event import (
     Event,
-    HedgeDenied,
     LinesDropped,
     LinesLeftOut,
-    PartChosen,
     RequestEnded,
     RequestServed,
 )
 from berylspool.common.mailbox import Mailbox
+from berylspool.common.part_event import HedgeDenied, PartAbandoned, PartChosen
 from berylspool.process.held_lines import (
     HeldLine,
     HeldLines,
     hold_line,
     leave_out_lines,
-    take_lines,
+    take_relevant_lines,
 )
 
 __all__ = ["LogTask", "log_to_file", "log_to_standard_output"]
@@ -36,6 +35,8 @@
 # Interval between reports of the number of lines left out; short enough that
 # a reader of the log finds a recent report.
 REPORT_INTERVAL_S = 10.0
+# A reader empties a pipe within a few milliseconds unless it has stalled.
+BLOCKED_RETRY_S = 0.05
 # Four times the capacity of a pipe: a reader that is so far behind has stalled.
 MAX_BUFFERED_BYTES = 256 * 1024
 
@@ -93,8 +94,8 @@
                 hold_line(self._held_lines, event.part.partition("/")[0], event)
             case RequestServed(request=request):
                 leave_out_lines(self._held_lines, request)
-            case RequestEnded(request=request):
-                for line in take_lines(self._held_lines, request):
+            case RequestEnded():
+                for line in take_relevant_lines(self._held_lines, event):
                     self._enqueue(line)
                 self._enqueue(event)
             case _:
@@ -110,7 +111,7 @@
     def _has_room(self, event: Event | HeldLine) -> bool:
         if len(self.inbox) >= MAX_BACKLOG_LINES:
             return False
-        if not isinstance(event, PartChosen | HeldLine):
+        if not isinstance(event, PartChosen | PartAbandoned | HeldLine):
             return True
         second = int(self._clock())
         if second != self._counted_second:
@@ -121,7 +122,9 @@
     async def run(self) -> None:
         """Write events until the task is cancelled."""
         while True:
-            self.write(await self.inbox.take())
+            is_blocked = self._output is not None and self._output.is_blocked
+            retry_s = BLOCKED_RETRY_S if is_blocked else None
+            self.write(await self.inbox.take(retry_s))
 
     def write(self, events: list[Event | HeldLine]) -> None:
         """Write events, with reports of missing lines, and flush."""
@@ -205,6 +208,11 @@
         self._buffer = bytearray()
         self._unreported_drops = 0
 
+    @property
+    def is_blocked(self) -> bool:
+        """Whether lines wait until the descriptor can be written again."""
+        return bool(self._buffer)
+
     def __call__(self, message: dict[str, Any]) -> None:
         """Buffer one message; if the buffer is full, count it as dropped."""
         if len(self._buffer) > MAX_BUFFERED_BYTES:
--- a/berylspool/process/tests/test_log.py
+++ b/berylspool/process/tests/test_log.py
@@ -1,17 +1,17 @@
 """Logging never blocks the process, and missing lines are counted."""
 
+import asyncio
 import os
 
 import eliot
 import orjson
 
 from berylspool.common.event import (
-    HedgeDenied,
     LeaseChanged,
-    PartChosen,
     RequestEnded,
     RequestServed,
 )
+from berylspool.common.part_event import HedgeDenied, PartChosen
 from berylspool.process.held_lines import MAX_HELD_LINES
 from berylspool.process.log import (
     MAX_BUFFERED_BYTES,
@@ -117,6 +117,43 @@
     assert all(m["at"] <= messages[-1]["timestamp"] for m in messages[:2])
 
 
+def test_first_copies_of_parts_that_answered_are_left_out():
+    ended = RequestEnded(
+        "r1~1", "r", 7, "1.1", "thin", {"b": "timeout"}, "c", 4, 90.0
+    )
+    messages, task = write_events(
+        *(
+            PartChosen(f"r1~1/0.{shard}.1", service, "", "u1", 1, False)
+            for shard, service in enumerate("abc")
+        ),
+        PartChosen("r1~1/0.0.1", "a", "", "u2", 2, False),
+        ended,
+    )
+    lines = [(m["service"], m["copy"]) for m in messages[:-1]]
+    assert lines == [("b", 1), ("c", 1), ("a", 2)]
+    assert task._held_lines.left_out == 1
+
+
+def test_lines_are_written_once_a_full_pipe_has_room_again():
+    reader, descriptor = make_pipe()
+    writer = DroppingWriter(descriptor)
+    task = LogTask(output=writer)
+
+    async def run():
+        running = asyncio.ensure_future(task.run())
+        for _ in range(100):
+            writer(LINE)
+        task.inbox.put(LeaseChanged(True, 3))
+        text = b""
+        while text.count(b"\n") < 100:
+            await asyncio.sleep(0.01)
+            text += read_all(reader)
+        running.cancel()
+
+    asyncio.run(asyncio.wait_for(run(), 60.0))
+    assert not writer.is_blocked
+
+
 def test_part_lines_of_served_requests_are_left_out_and_counted():
     messages, task = write_events(part_chosen("r1~1"), RequestServed("r1~1"))
     assert not messages
--- a/berylspool/tests/test_documentation.py
+++ b/berylspool/tests/test_documentation.py
@@ -6,7 +6,7 @@
 
 import yaml
 
-from berylspool.common.event import event_class_by_number
+from berylspool.common.event_catalogue import event_class_by_number
 from berylspool.common.metric import HELP_BY_NAME
 from berylspool.connection.caller import (
     ROUTES,
--- a/berylspool/tool/tests/test_explain.py
+++ b/berylspool/tool/tests/test_explain.py
@@ -2,7 +2,8 @@
 
 import orjson
 
-from berylspool.common.event import LinesDropped, PartChosen, RequestEnded
+from berylspool.common.event import LinesDropped, RequestEnded
+from berylspool.common.part_event import PartChosen
 from berylspool.tool.explain import explain
 
 
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -9,9 +9,12 @@
 
 import heapq
 
+from berylspool.common.event import UpstreamChanged
+from berylspool.common.part_event import HedgeDenied
 from berylspool.request.query import Part, PartRefused, Reason
 from berylspool.version.pool.attempt import (
     close_silent_connection,
+    describe_abandoned,
     on_attempt_answered,
 )
 from berylspool.version.pool.connections import (
@@ -32,9 +35,8 @@
     FingerprintBlamed,
     HealthReported,
     LeaseUpdated,
-    LogHedgeDenied,
+    Log,
     LogPartChosen,
-    LogUpstreamChanged,
     PartArrived,
     PartCancelled,
     PoolAction,
@@ -99,7 +101,7 @@
         case PartArrived(part=part):
             actions = _on_part_arrived(pool, part, now)
         case PartCancelled(part_id=part_id, is_caller_gone=is_caller_gone):
-            actions = _on_part_cancelled(pool, part_id, is_caller_gone)
+            actions = _on_part_cancelled(pool, part_id, is_caller_gone, now)
         case ConnectionOpened():
             actions = on_connection_opened(pool, event, now)
         case ConnectionClosed():
@@ -202,9 +204,9 @@
         retry_at = now + hedge_delay_s(pool, job)
         set_timer(pool, retry_at, job.part.id, TimerKind.HEDGE)
         is_first, job.is_hedge_denied = not job.is_hedge_denied, True
-        return (
-            [LogHedgeDenied(job.part, pool.budget.tokens)] if is_first else []
-        )
+        tokens = round(pool.budget.tokens, 2)
+        denial = HedgeDenied(job.part.id, job.part.service, tokens)
+        return [Log(denial)] if is_first else []
     job.hedges += 1
     enqueue_job(pool, job, behind_first_copies=not pool.tuning.hedges_in_turn)
     return []
@@ -345,16 +347,14 @@
 
 
 def _on_part_cancelled(
-    pool: Pool, part_id: str, is_caller_gone: bool
+    pool: Pool, part_id: str, is_caller_gone: bool, now: float
 ) -> list[PoolAction]:
     job = pool.job_by_part.get(part_id)
     if job is None or not job.part.idempotent:
         return []
-    return [
-        action
-        for action in fail_job(pool, job, Reason.CANCELLED, is_caller_gone)
-        if not isinstance(action, SendResult)
-    ]
+    abandoned = Log(describe_abandoned(pool, job, now))
+    actions = fail_job(pool, job, Reason.CANCELLED, is_caller_gone)
+    return [abandoned, *(a for a in actions if not isinstance(a, SendResult))]
 
 
 def _on_health_reported(
@@ -367,7 +367,7 @@
         view.is_draining = False
     if event.is_draining and not view.is_draining:
         view.is_draining = True
-        return [LogUpstreamChanged(view.upstream.id, "draining")]
+        return [Log(UpstreamChanged(view.upstream.id, "draining"))]
     return []
 
 
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -1,5 +1,7 @@
 """Decisions on attempts that were answered, lost or left unanswered."""
 
+from berylspool.common.event import SilentReplaced
+from berylspool.common.part_event import PartAbandoned
 from berylspool.request.query import PartFailed, PartRows, Reason
 from berylspool.version.pool.hedging import record_duration, try_withdraw
 from berylspool.version.pool.message import (
@@ -8,7 +10,7 @@
     CancelAttempt,
     CloseConnection,
     ErrorReply,
-    LogConnectionReplaced,
+    Log,
     NotRunReply,
     ObservedReply,
     OutrunReply,
@@ -42,8 +44,14 @@
 )
 from berylspool.version.pool.upstream_view import ConnectionState, UpstreamView
 
-__all__ = ["close_silent_connection", "on_attempt_answered", "on_attempt_lost"]
+__all__ = [
+    "close_silent_connection",
+    "describe_abandoned",
+    "on_attempt_answered",
+    "on_attempt_lost",
+]
 
+MS_PER_S = 1000.0
 RETRY_DELAY_AFTER_LOSS_S = 0.02
 MAX_SENDS = 4
 # A service usually has two upstreams: each may refuse once, and one of them
@@ -297,8 +305,10 @@
             attempt.upstream_id, attempt.part_id, attempt.id, connection.id
         ),
         CloseConnection(connection.id),
-        LogConnectionReplaced(
-            attempt.upstream_id, connection.id, now - attempt.sent_at
+        Log(
+            SilentReplaced(
+                attempt.upstream_id, connection.id, now - attempt.sent_at
+            )
         ),
     ]
     job = pool.job_by_part.get(attempt.part_id)
@@ -307,3 +317,25 @@
     job.has_run = True
     job.last_reason = Reason.CONNECTION_LOST
     return actions + _schedule_retry(pool, job, now, 0.0)
+
+
+def describe_abandoned(pool: Pool, job: Job, now: float) -> PartAbandoned:
+    """Return the log event for a part that ends without an answer."""
+    return PartAbandoned(
+        job.part.id,
+        job.part.service,
+        round((now - job.arrived_at) * MS_PER_S),
+        job.sends,
+        job.queue_items,
+        {
+            attempt.upstream_id: round((now - attempt.sent_at) * MS_PER_S)
+            for attempt in job.attempt_by_id.values()
+        },
+        job.refusals,
+        job.is_hedge_denied,
+        sum(
+            connection.state is ConnectionState.OPENING
+            for view in pool.view_by_upstream.values()
+            for connection in view.connection_by_id.values()
+        ),
+    )
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from berylspool.common.event import UpstreamChanged
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.attempt import on_attempt_lost
 from berylspool.version.pool.hedging import set_budget_limits
@@ -9,7 +10,7 @@
     CloseConnection,
     ConnectionClosed,
     ConnectionOpened,
-    LogUpstreamChanged,
+    Log,
     OpenConnection,
     PoolAction,
 )
@@ -80,7 +81,7 @@
     if on_instance_report(view.slow_start, event.instance):
         view.is_draining = False
         change = f"instance {event.instance} is cold"
-        actions.append(LogUpstreamChanged(view.upstream.id, change))
+        actions.append(Log(UpstreamChanged(view.upstream.id, change)))
     if connection.state is ConnectionState.OPENING:
         connection.state = ConnectionState.IDLE
         connection.idle_since = now
@@ -108,7 +109,7 @@
     if connection.state is not ConnectionState.CLOSING and not event.is_planned:
         if not view.slow_start.is_unconfirmed:
             actions.append(
-                LogUpstreamChanged(view.upstream.id, "connection lost")
+                Log(UpstreamChanged(view.upstream.id, "connection lost"))
             )
         on_connection_lost(view.slow_start)
         view.reconnect_delay_s = min(
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from berylspool.common.event import Event
 from berylspool.request.query import (
     Part,
     PartResult,
@@ -27,10 +28,8 @@
     "FingerprintBlamed",
     "HealthReported",
     "LeaseUpdated",
-    "LogConnectionReplaced",
-    "LogHedgeDenied",
+    "Log",
     "LogPartChosen",
-    "LogUpstreamChanged",
     "NotRunReply",
     "ObservedReply",
     "OpenConnection",
@@ -312,14 +311,6 @@
     waited_s: float
 
 
-@dataclass(frozen=True, slots=True)
-class LogHedgeDenied:
-    """Log that the budget, with the given balance, did not pay for a hedge."""
-
-    part: Part
-    tokens: float
-
-
 @dataclass(frozen=True, slots=True)
 class LogPartChosen:
     """Log the upstream that was chosen for a copy of a part.
@@ -340,20 +331,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LogConnectionReplaced:
-    """Log the replacement of a connection whose attempt got no answer."""
-
-    upstream_id: str
-    connection_id: int
-    age_s: float
-
-
-@dataclass(frozen=True, slots=True)
-class LogUpstreamChanged:
-    """Log a change in the state of an upstream."""
+class Log:
+    """Write a log event."""
 
-    upstream_id: str
-    change: str
+    event: Event
 
 
 @dataclass(frozen=True, slots=True)
@@ -383,9 +364,7 @@
     | CancelAttempt
     | Blame
     | LogPartChosen
-    | LogHedgeDenied
-    | LogConnectionReplaced
-    | LogUpstreamChanged
+    | Log
     | ObservedReply
 )
 
--- a/berylspool/version/pool/task.py
+++ b/berylspool/version/pool/task.py
@@ -5,15 +5,9 @@
 from collections.abc import Callable
 from typing import Any, Protocol
 
-from berylspool.common.event import (
-    Event,
-    HedgeDenied,
-    PartChosen,
-    RequestBlamed,
-    SilentReplaced,
-    UpstreamChanged,
-)
+from berylspool.common.event import Event, RequestBlamed
 from berylspool.common.mailbox import Mailbox
+from berylspool.common.part_event import PartChosen
 from berylspool.request.query import PartResult
 from berylspool.version.configuration import Upstream
 from berylspool.version.pool.admission import step
@@ -21,10 +15,8 @@
     Blame,
     CancelAttempt,
     CloseConnection,
-    LogConnectionReplaced,
-    LogHedgeDenied,
+    Log,
     LogPartChosen,
-    LogUpstreamChanged,
     ObservedReply,
     OpenConnection,
     PoolAction,
@@ -158,14 +150,8 @@
                 self._cancel(action)
             case LogPartChosen():
                 self._log_part_chosen(action)
-            case LogHedgeDenied(part=part, tokens=tokens):
-                self._log(HedgeDenied(part.id, part.service, round(tokens, 2)))
-            case LogConnectionReplaced():
-                self._log(
-                    SilentReplaced(
-                        action.upstream_id, action.connection_id, action.age_s
-                    )
-                )
+            case Log(event=event):
+                self._log(event)
             case Blame():
                 self._share_verdict(action)
                 self._log(
@@ -173,8 +159,6 @@
                         action.fingerprint, action.upstream_id, action.verdict
                     )
                 )
-            case LogUpstreamChanged(upstream_id=upstream_id, change=change):
-                self._log(UpstreamChanged(upstream_id, change))
             case ObservedReply():
                 self._on_observed(action)
 
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from berylspool.common.part_event import HedgeDenied, PartAbandoned
 from berylspool.request.query import Forward, Part, Reason, Snapshot
 from berylspool.version.configuration import (
     Configuration,
@@ -26,7 +27,7 @@
     ConnectionClosed,
     ConnectionOpened,
     ErrorReply,
-    LogHedgeDenied,
+    Log,
     LogPartChosen,
     NotRunReply,
     OpenConnection,
@@ -116,6 +117,11 @@
         ]
 
 
+def logged_events(driver, event_class):
+    events = [a.event for a in driver.other_actions if isinstance(a, Log)]
+    return [event for event in events if isinstance(event, event_class)]
+
+
 def test_copies_of_all_entries_stay_within_the_shared_slack():
     extra = 0
     for _ in range(6):
@@ -400,11 +406,22 @@
     driver.feed(PartArrived(make_part(1, hedge_after_s=0.05)), 0.0)
     for moment in (0.06, 0.12, 0.18):
         driver.feed(Tick(), moment)
-    denials = [a for a in driver.other_actions if isinstance(a, LogHedgeDenied)]
-    assert [a.part.id for a in denials] == ["p1"]
+    denials = logged_events(driver, HedgeDenied)
+    assert [event.part for event in denials] == ["p1"]
     assert denials[0].tokens < 1.0
 
 
+def test_part_without_an_answer_logs_its_copies_when_its_request_ends():
+    driver = PoolDriver(extra=5.0)
+    driver.feed(PartArrived(make_part(1, hedge_after_s=0.05)), 0.0)
+    driver.feed(Tick(), 0.06)
+    driver.feed(PartCancelled("p1"), 0.08)
+    (event,) = logged_events(driver, PartAbandoned)
+    assert (event.copies, event.queued) == (2, 0)
+    assert event.unanswered_ms == {"near": 80, "far": 20}
+    assert not event.is_hedge_denied
+
+
 def test_choice_is_logged_with_its_factors_and_their_ages():
     driver = PoolDriver((NEAR,))
     driver.feed(PartArrived(make_part(1)), 0.0)
