Control lends extra copies to the entries that need them

Cause: the copies that a service may get beyond the first are limited for all entries together, and were divided evenly by the entries that had requests. The platform tests the configuration at every entry, so all 62 counted, and each had 1.05 copies of a service saved and one more in ten seconds.

Change: entries hold half of the slack in even parts, as before. The other half, which trickled evenly to all entries, is lent by the leader of control to the pool that asks: with a heartbeat that is sent at once, answered by its grant. Token buckets of the leader, empty at its start, keep any window within the limit. A retry whose budget is spent waits 50 ms at most for a loan. Shares below one copy are rounded by hash; a saved fraction could never be spent.

Both messages have one new field with a default, so old and new processes run together; an old leader lends nothing.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -64,8 +64,8 @@
     SendAttempt,
 )
 from berylspool.version.pool.state import Pool, PoolTuning
-from berylspool.version.pool.upstream_view import ZoneAware
 from berylspool.version.revision import apply_operations
+from berylspool.version.upstream.upstream_view import ZoneAware
 
 SIZES = (500, 1000, 2000)
 REPEATS = 5
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -19,6 +19,7 @@
     "Announce",
     "ConfigurationSent",
     "DeltaSent",
+    "ExtraCopies",
     "FoundingQuery",
     "FoundingReply",
     "Grant",
@@ -54,6 +55,21 @@
     latency: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class ExtraCopies:
+    """Copies beyond the first that a pool of an entry wants or is lent.
+
+    Attributes:
+        service: Name of the service.
+        version: Index version of the pool.
+        copies: Number of copies.
+    """
+
+    service: str
+    version: str
+    copies: int
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Periodic report of an entry to the control nodes.
@@ -76,7 +92,7 @@
         listing_serial: Serial of that listing.
         convicted: Fingerprints of requests that the entry no longer sends
             because they crash upstreams.
-        is_busy: Whether the entry received requests recently.
+        wanted: Copies that pools of the entry ask for.
     """
 
     member: Member
@@ -90,7 +106,7 @@
     listing_epoch: int = 0
     listing_serial: int = 0
     convicted: tuple[str, ...] = ()
-    is_busy: bool = False
+    wanted: tuple[ExtraCopies, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +120,8 @@
         table_epoch: Epoch of the latest member table, active or proposed.
         controls: Names of the voting control nodes.
         convicted: Fingerprints that any entry has convicted.
-        busy: Number of entries that received requests recently; 0 if
-            unknown.
+        lent: Copies lent for each that the heartbeat asked for, possibly
+            fewer.
     """
 
     sent_at: float
@@ -114,7 +130,7 @@
     table_epoch: int
     controls: tuple[str, ...] = ()
     convicted: tuple[str, ...] = ()
-    busy: int = 0
+    lent: tuple[ExtraCopies, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -6,6 +6,7 @@
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
+    ExtraCopies,
     Grant,
     Heartbeat,
     ListingDelta,
@@ -28,11 +29,9 @@
     "add_delta",
     "add_table",
     "configuration_update",
-    "count_busy_entries",
     "heartbeat_answers",
     "heartbeat_event",
     "members_changed_event",
-    "record_busy",
     "record_convicted",
     "replace_listing",
     "table_update",
@@ -47,12 +46,6 @@
 # Each heartbeat repeats the fingerprints that its entry has convicted, so a
 # fingerprint that has not been repeated for this long is convicted nowhere.
 CONVICTION_EXPIRY_S = 10.0
-# An entry counts as busy for this long after the last heartbeat that reported
-# requests. If callers move to another entry, both entries count meanwhile. A
-# leader that has received heartbeats for a shorter time than this does not know
-# yet which entries are busy.
-BUSY_EXPIRY_S = 5.0
-BUSY_COUNT_STEP_DIVISOR = 4
 
 
 @dataclass(slots=True)
@@ -68,19 +61,12 @@
         listing: Newest listing of upstreams; serial 0 before the first.
         convicted_at_by_fingerprint: Time at which an entry last reported the
             fingerprint as convicted, in monotonic seconds.
-        busy_at_by_name: Time at which the entry last reported that it has
-            requests, in monotonic seconds.
-        first_heartbeat_at: Time of the first heartbeat that this node
-            received as the leader, in monotonic seconds; None if it does not
-            lead.
     """
 
     deltas: list[DeltaSent] = field(default_factory=list)
     table_by_epoch: dict[int, MemberTable] = field(default_factory=dict)
     listing: Listing = Listing()
     convicted_at_by_fingerprint: dict[str, float] = field(default_factory=dict)
-    busy_at_by_name: dict[str, float] = field(default_factory=dict)
-    first_heartbeat_at: float | None = None
 
 
 def add_delta(distribution: DistributionState, delta: DeltaSent) -> None:
@@ -193,44 +179,6 @@
         del convicted_at[fingerprint]
 
 
-def record_busy(
-    distribution: DistributionState, heartbeat: Heartbeat, now: float
-) -> None:
-    """Record whether an entry has requests, and drop expired records."""
-    if distribution.first_heartbeat_at is None:
-        distribution.first_heartbeat_at = now
-    busy_at = distribution.busy_at_by_name
-    if heartbeat.is_busy:
-        busy_at[heartbeat.member.name] = now
-    for name in [n for n, at in busy_at.items() if now - at > BUSY_EXPIRY_S]:
-        del busy_at[name]
-
-
-def count_busy_entries(distribution: DistributionState, now: float) -> int:
-    """Return how many entries have requests; 0 if that is not known yet.
-
-    The number is rounded up in steps of a quarter, so that entries seldom
-    have to change their shares.
-
-    Examples:
-        >>> busy_at = {"a": 9.0, "b": 9.0}
-        >>> state = DistributionState(
-        ...     busy_at_by_name=busy_at, first_heartbeat_at=0.0
-        ... )
-        >>> count_busy_entries(state, 3.0), count_busy_entries(state, 9.0)
-        (0, 2)
-    """
-    if (
-        distribution.first_heartbeat_at is None
-        or now - distribution.first_heartbeat_at < BUSY_EXPIRY_S
-    ):
-        return 0
-    count = 1
-    while count < len(distribution.busy_at_by_name):
-        count += 1 + count // BUSY_COUNT_STEP_DIVISOR
-    return count
-
-
 def heartbeat_event(heartbeat: Heartbeat) -> HeartbeatReceived:
     """Return the membership event for a heartbeat."""
     return HeartbeatReceived(
@@ -248,7 +196,7 @@
     state: ControlState,
     lease_s: float,
     voter_names: tuple[str, ...] = (),
-    busy_count: int = 0,
+    lent: tuple[ExtraCopies, ...] = (),
 ) -> list[HeartbeatAnswer]:
     """Return the answers of a leader with a quorum to a heartbeat.
 
@@ -258,7 +206,7 @@
         state: Replicated state.
         lease_s: Length of a lease in seconds.
         voter_names: Names of the control nodes that vote.
-        busy_count: Number of entries that have requests; 0 if not known.
+        lent: Copies lent to the entry.
 
     Returns:
         The updates that the entry lacks, followed by the lease.
@@ -283,6 +231,6 @@
         table.epoch,
         voter_names,
         tuple(distribution.convicted_at_by_fingerprint),
-        busy_count,
+        lent,
     )
     return [*answers, grant]
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -9,18 +9,18 @@
 )
 from berylspool.connection.message import MemberTable
 from berylspool.connection.peer import Session
+from berylspool.process.control.copy_lending import CopyLending, lend_copies
 from berylspool.process.control.distribution import (
     DistributionState,
     add_delta,
     add_table,
-    count_busy_entries,
     heartbeat_answers,
-    record_busy,
     record_convicted,
     replace_listing,
 )
 from berylspool.process.group.reconfiguration import node_name_from_id
 from berylspool.process.group.replica import Replica
+from berylspool.process.settings import Settings
 from berylspool.version.listing import ListedUpstream
 
 __all__ = ["EntrySessions"]
@@ -31,12 +31,14 @@
 
     Args:
         replica: Replica of this control node.
-        lease_s: Length of an entry's lease, in seconds.
+        settings: Settings of the deployment.
     """
 
-    def __init__(self, replica: Replica, lease_s: float) -> None:
+    def __init__(self, replica: Replica, settings: Settings) -> None:
         self._replica = replica
-        self._lease_s = lease_s
+        self._lease_s = settings.lease_s
+        self._routing = settings.routing
+        self._lending: CopyLending | None = None
         self._distribution = DistributionState()
         self._session_by_id: dict[str, Session] = {}
 
@@ -47,10 +49,11 @@
         self._session_by_id[session.id] = session
         record_convicted(self._distribution, heartbeat.convicted, now)
         if not self._replica.has_quorum_contact():
-            self._distribution.first_heartbeat_at = None
+            self._lending = None
             session.inbox.put(NotLeader(self._replica.leader))
             return
-        record_busy(self._distribution, heartbeat, now)
+        if self._lending is None:
+            self._lending = CopyLending(self._routing, now)
         voters = self._replica.node.group.voters
         for message in heartbeat_answers(
             self._distribution,
@@ -58,7 +61,7 @@
             self._replica.state,
             self._lease_s,
             tuple(node_name_from_id(id) for id in voters),
-            count_busy_entries(self._distribution, now),
+            lend_copies(self._lending, heartbeat.wanted, now),
         ):
             session.inbox.put(message)
 
--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -170,7 +170,7 @@
             platform.voter_count,
             clock,
         )
-        self._entry_sessions = EntrySessions(self.replica, settings.lease_s)
+        self._entry_sessions = EntrySessions(self.replica, settings)
         self._command_handler = OperatorCommandHandler(self)
         self._server = LinkServer(
             make_control_codec(),
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -1,7 +1,7 @@
 """The control client task: heartbeats, lease, configuration and ledger."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import replace
 from typing import Any
 
 from berylspool.common.event import (
@@ -15,6 +15,7 @@
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
+    ExtraCopies,
     Grant,
     Heartbeat,
     ListingDelta,
@@ -27,6 +28,13 @@
 from berylspool.connection.message import Member, MemberTable
 from berylspool.process.control.membership import apply_table_difference
 from berylspool.process.control_links import make_control_links
+from berylspool.process.entry.control_client_message import (
+    ControlLinkOpened,
+    ControlMessage,
+    Leave,
+    PendingLedgerRequest,
+    TableDrained,
+)
 from berylspool.process.settings import Settings
 from berylspool.request.ledger import (
     LedgerDecision,
@@ -39,7 +47,7 @@
 from berylspool.version.operation import operation_codec
 from berylspool.version.revision import apply_operations
 
-__all__ = ["ControlClient", "Leave", "TableDrained"]
+__all__ = ["ControlClient"]
 
 HEARTBEAT_INTERVAL_S = 0.25
 # Four heartbeats; a leader that is silent for longer may have been replaced.
@@ -50,52 +58,6 @@
 LEDGER_TIMEOUT_S = 5.0
 
 
-@dataclass(frozen=True, slots=True)
-class TableDrained:
-    """The pools of the services that a member table moves have drained here.
-
-    Attributes:
-        epoch: Epoch of the member table.
-    """
-
-    epoch: int
-
-
-@dataclass(frozen=True, slots=True)
-class Leave:
-    """The entry shuts down and hands over its services to other entries."""
-
-
-@dataclass(frozen=True, slots=True)
-class ControlMessage:
-    """A message from the control node named `node`."""
-
-    node: str
-    message: Any
-
-
-@dataclass(frozen=True, slots=True)
-class ControlLinkOpened:
-    """The link to the control node named `node` has opened."""
-
-    node: str
-
-
-@dataclass(slots=True)
-class PendingLedgerRequest:
-    """A ledger request that has no reply yet.
-
-    Attributes:
-        submission: The request and the inbox that receives the reply.
-        sent_at: Time of the newest transmission, in monotonic seconds.
-        expires_at: Time after which it is no longer sent, in monotonic seconds.
-    """
-
-    submission: LedgerRequest
-    sent_at: float
-    expires_at: float
-
-
 class ControlClient:
     """Task that owns the links to all control nodes.
 
@@ -113,14 +75,13 @@
         get_convicted: Returns the fingerprints of requests that this entry no
             longer sends.
         on_convicted: Called with the fingerprints that any entry has convicted.
-        is_busy: Returns whether the entry has had requests recently.
-        on_busy_entry_count: Called with the number of entries that have had
-            requests recently; 0 if not known.
+        on_lent: Called with the copies that control has lent.
         control_port: Port of control nodes that are named by their address;
             None if the settings name all of them.
 
     Attributes:
-        inbox: Receives `TableDrained`, `Leave` and ledger requests.
+        inbox: Receives `TableDrained`, `Leave`, ledger requests, and the extra
+            copies to ask for.
     """
 
     def __init__(
@@ -138,8 +99,7 @@
         on_listing: Callable[[Listing], None] = lambda listing: None,
         get_convicted: Callable[[], tuple[str, ...]] = lambda: (),
         on_convicted: Callable[[tuple[str, ...]], None] = lambda _: None,
-        is_busy: Callable[[], bool] = lambda: False,
-        on_busy_entry_count: Callable[[int], None] = lambda count: None,
+        on_lent: Callable[[tuple[ExtraCopies, ...]], None] = lambda lent: None,
         control_port: int | None = None,
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
@@ -155,8 +115,8 @@
         self._on_listing = on_listing
         self._get_convicted = get_convicted
         self._on_convicted = on_convicted
-        self._is_busy = is_busy
-        self._on_busy_entry_count = on_busy_entry_count
+        self._on_lent = on_lent
+        self._wanted: list[ExtraCopies] = []
         self._listing = Listing()
         self._granted_at = float("-inf")
         self._has_addressed_nodes = control_port is not None
@@ -188,6 +148,7 @@
                 wait_s = max(0.0, next_heartbeat_at - self._clock())
                 for message in await self.inbox.take(wait_s):
                     self._handle(message)
+                self._ask_for_copies()
                 if self._clock() >= next_heartbeat_at:
                     is_leader_known = self._knows_leader()
                     wait_s = (
@@ -221,7 +182,7 @@
             self._listing.epoch,
             self._listing.serial,
             self._get_convicted(),
-            self._is_busy(),
+            tuple(self._wanted),
         )
 
     def _send_heartbeat(self) -> None:
@@ -238,6 +199,16 @@
             elif now - pending.sent_at >= LEDGER_RESEND_INTERVAL_S:
                 self._send_ledger_request(pending)
 
+    def _ask_for_copies(self) -> None:
+        """Ask the leader for extra copies; without one, none are lent."""
+        if not self._wanted:
+            return
+        if self._knows_leader():
+            self._links.send(self._leader, self._build_heartbeat())
+        else:
+            self._on_lent(tuple(replace(c, copies=0) for c in self._wanted))
+        self._wanted.clear()
+
     def _log_lease_change(self) -> None:
         is_held = self._clock() < self._lease_until
         if is_held != self._is_lease_held:
@@ -250,6 +221,8 @@
             case TableDrained(epoch=epoch):
                 self._drained_epoch = max(self._drained_epoch, epoch)
                 self._send_heartbeat()
+            case ExtraCopies():
+                self._wanted.append(message)
             case Leave():
                 self._is_leaving = True
                 self._send_heartbeat()
@@ -331,7 +304,7 @@
         """
         self._leader = node
         self._granted_at = self._clock()
-        self._on_busy_entry_count(grant.busy)
+        self._on_lent(grant.lent)
         if grant.convicted:
             self._on_convicted(grant.convicted)
         if grant.controls and self._has_addressed_nodes:
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -16,16 +16,16 @@
     RequestBlamed,
 )
 from berylspool.common.metric import Metrics, set_gauge
+from berylspool.connection.control_message import ExtraCopies
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError
-from berylspool.process.entry.control_client import (
-    ControlClient,
+from berylspool.process.entry.control_client import ControlClient
+from berylspool.process.entry.control_client_message import (
     Leave,
     TableDrained,
 )
 from berylspool.process.entry.forwarding_state import ForwardingState
 from berylspool.process.entry.lag import TimerLag, early_margin_s, record_lag
-from berylspool.process.entry.pool_tuning import make_shared_tuning
 from berylspool.process.entry.reply_statistics import (
     ReplyStatistics,
     record_reply,
@@ -48,6 +48,7 @@
 )
 from berylspool.process.lifetime import make_stop_event
 from berylspool.process.log import LogTask
+from berylspool.process.pool_tuning import make_shared_tuning
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
 from berylspool.request.fanout import PinnedMap
@@ -92,8 +93,6 @@
 NO_PLAN_RETRY_S = 0.7
 # While control has a leader, a new process has its plan within this time.
 MAX_PLAN_WAIT_S = 0.4
-# A few times the pause between two requests of an active caller.
-BUSY_PERIOD_S = 2.0
 # Share of the deadline; leaves time for a second attempt at another entry.
 MAX_PLAN_WAIT_SHARE = 0.25
 
@@ -159,7 +158,6 @@
         self._clock = clock
         self._query_serial = 0
         self._timer_lag = TimerLag()
-        self._last_request_at = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._evidence = CrashEvidence()
         self._refuses_requests = False
@@ -169,6 +167,9 @@
             log=self.log.put,
             clock=clock,
             on_reply=self._handle_reply,
+            on_borrow=lambda key, copies: self.control.inbox.put(
+                ExtraCopies(*key, copies)
+            ),
             transport=transport,
         )
         host, port = split_address(self.own_settings.peer_address)
@@ -185,8 +186,7 @@
             on_listing=self.state.set_listing,
             get_convicted=lambda: tuple(self._evidence.convicted_at),
             on_convicted=self._adopt_convictions,
-            is_busy=self._is_busy,
-            on_busy_entry_count=self.state.set_busy_entry_count,
+            on_lent=self.router.receive_loans,
             control_port=control_port,
         )
 
@@ -195,9 +195,6 @@
         """Whether callers should open new connections to this entry."""
         return self.state.initialized.is_set() and not self.is_closing
 
-    def _is_busy(self) -> bool:
-        return self._clock() - self._last_request_at < BUSY_PERIOD_S
-
     def reload(self, settings: Settings) -> None:
         """Apply changed settings, such as the control nodes to link to."""
         self.settings = settings
@@ -225,7 +222,7 @@
         Returns:
             An answer or a refusal, no later than the deadline.
         """
-        started_at = self._last_request_at = self._clock()
+        started_at = self._clock()
         if not self.state.initialized.is_set():
             await self._wait_for_plan(request)
         view = self.state.view.value
--- a/berylspool/process/entry/forwarding_state.py
+++ b/berylspool/process/entry/forwarding_state.py
@@ -51,7 +51,6 @@
         listing: Listing of upstreams.
         listed_at: Time of the newest listing, in monotonic seconds.
         entry_count: Number of entries that share the upstreams; 0 if not known.
-        busy_entry_count: Number of entries that have requests; 0 if not known.
         initialized: Set once a plan and a listing are in force.
         settings: Settings of the deployment.
     """
@@ -70,7 +69,6 @@
         self.listing = Listing()
         self.listed_at = clock()
         self.entry_count = 0
-        self.busy_entry_count = 0
         self.initialized = asyncio.Event()
         self.settings = settings
         self._decode = decode
@@ -97,17 +95,6 @@
         self.listed_at = self._clock()
         self._schedule_refresh()
 
-    def set_busy_entry_count(self, busy_entry_count: int) -> None:
-        """Update the number of entries that share the extra copies.
-
-        Args:
-            busy_entry_count: Number of entries that have requests; 0 if not
-                known.
-        """
-        if busy_entry_count != self.busy_entry_count:
-            self.busy_entry_count = busy_entry_count
-            self._schedule_refresh()
-
     def set_entry_count(self, entry_count: int) -> None:
         """Update the number of entries that share the upstreams."""
         if entry_count != self.entry_count:
@@ -136,10 +123,8 @@
         shared_limits = SharedLimits(
             self.entry_count,
             routing.extra_slack,
-            routing.extra_window_s,
             routing.cold_factor,
             routing.cold_slack,
-            min(self.busy_entry_count or self.entry_count, self.entry_count),
         )
         self._on_change(
             build_pool_configuration(
--- a/berylspool/process/entry/role.py
+++ b/berylspool/process/entry/role.py
@@ -14,12 +14,11 @@
 from berylspool.connection.listen import listen
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError, UnknownRouteError
-from berylspool.process.entry.control_client import (
-    ControlClient,
+from berylspool.process.entry.control_client import ControlClient
+from berylspool.process.entry.control_client_message import (
     Leave,
     TableDrained,
 )
-from berylspool.process.entry.pool_tuning import make_owner_tuning
 from berylspool.process.entry.reply_statistics import (
     ReplyStatistics,
     record_reply,
@@ -37,6 +36,7 @@
 )
 from berylspool.process.lifetime import make_stop_event
 from berylspool.process.log import LogTask
+from berylspool.process.pool_tuning import make_owner_tuning
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
 from berylspool.request.command_task import CommandTask
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -12,6 +12,7 @@
 )
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.published_value import PublishedValue
+from berylspool.connection.control_message import ExtraCopies
 from berylspool.connection.message import (
     AskPart,
     DropPart,
@@ -28,6 +29,7 @@
     HeldPartsRetryDue,
     LinkDown,
     LinkUp,
+    LoanReceived,
     PoolDrained,
     PoolKey,
     ReportTableDrained,
@@ -80,6 +82,8 @@
             the pools of the services that it moves have drained.
         on_reply: Called with each reply of an upstream, for the metrics and
             the statistics by version.
+        on_borrow: Called with the key of a pool and the number of extra copies
+            that it asks control for.
         transport: Protocol spoken to upstreams; the project's own if None.
 
     Attributes:
@@ -99,6 +103,7 @@
         clock: Callable[[], float],
         on_table_drained: Callable[[int], None] = lambda epoch: None,
         on_reply: Callable[[ObservedReply], None] = lambda reply: None,
+        on_borrow: Callable[[PoolKey, int], None] = lambda key, copies: None,
         transport: Transport | None = None,
     ) -> None:
         self.inbox: Mailbox[RouterMessage] = Mailbox()
@@ -115,6 +120,7 @@
         self._clock = clock
         self._on_table_drained = on_table_drained
         self._on_reply = on_reply
+        self._on_borrow = on_borrow
         self._transport = transport or NativeTransport()
         self._link_by_member: dict[str, Link] = {}
         self._link_task_by_member: dict[str, asyncio.Task[None]] = {}
@@ -142,6 +148,12 @@
             ):
                 task.cancel()
 
+    def receive_loans(self, lent: tuple[ExtraCopies, ...]) -> None:
+        """Queue the copies that control has lent to pools of this process."""
+        for loan in lent:
+            key = (loan.service, loan.version)
+            self.inbox.put(LoanReceived(key, loan.copies))
+
     def _handle(self, message: RouterMessage) -> None:
         match message:
             case Subscribe(request_id=request_id, inbox=inbox):
@@ -202,6 +214,7 @@
             self._tuning,
             send_result=lambda result: self.inbox.put(ResultReceived(result)),
             share_verdict=lambda blame: self.inbox.put(BlameRaised(blame)),
+            borrow=lambda copies: self._on_borrow(key, copies),
             on_drained=lambda: self.inbox.put(PoolDrained(key)),
             on_observed=self._on_reply,
             log=self._log,
--- a/berylspool/process/entry/routing.py
+++ b/berylspool/process/entry/routing.py
@@ -27,6 +27,7 @@
     LeaseGranted,
     LinkDown,
     LinkUp,
+    LoanReceived,
     PoolDrained,
     ResultReceived,
     RoutingAction,
@@ -51,6 +52,7 @@
 from berylspool.version.configuration import Configuration
 from berylspool.version.pool.message import (
     Blame,
+    CopiesLent,
     FingerprintBlamed,
     LeaseUpdated,
     PartArrived,
@@ -102,6 +104,8 @@
                 SendToPool(key, LeaseUpdated(routing.lease_until))
                 for key in sorted(routing.pool_keys)
             ]
+        case LoanReceived(key=key, copies=copies):
+            return [SendToPool(key, CopiesLent(copies))]
         case PoolDrained(key=key):
             return stop_drained_pool(routing, key)
         case BlameRaised(blame=blame):
--- a/berylspool/process/entry/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -17,6 +17,7 @@
     "LeaseGranted",
     "LinkDown",
     "LinkUp",
+    "LoanReceived",
     "PoolDrained",
     "PoolKey",
     "ReportTableDrained",
@@ -117,6 +118,19 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class LoanReceived:
+    """Control has answered a pool's request for extra copies.
+
+    Attributes:
+        key: Service and version of the pool.
+        copies: Copies lent, possibly none.
+    """
+
+    key: PoolKey
+    copies: int
+
+
 @dataclass(frozen=True, slots=True)
 class PoolDrained:
     """A closing pool has no parts left."""
@@ -158,6 +172,7 @@
     | TableChanged
     | ConfigurationChanged
     | LeaseGranted
+    | LoanReceived
     | PoolDrained
     | BlameRaised
     | BlameReceived
--- a/berylspool/process/entry/pool_tuning.py
+++ b/berylspool/process/pool_tuning.py
@@ -2,7 +2,7 @@
 
 from berylspool.process.settings import RoutingSettings
 from berylspool.version.pool.state import PoolTuning
-from berylspool.version.pool.upstream_view import (
+from berylspool.version.upstream.upstream_view import (
     BalancingPolicy,
     FewestInFlight,
     LeastLoaded,
@@ -63,6 +63,7 @@
         opens_on_demand=True,
         isolates_suspects=False,
         charges_refusals=True,
+        borrows_copies=True,
         entry=entry,
         zone=zone,
     )
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -68,8 +68,6 @@
             `slots`, from the first answer after a start, in seconds.
         extra_copies: Maximum balance of one entry's budget for copies
             beyond the first; None for the pool's default.
-        extra_per_s: Copies added to that budget each second, on top of
-            those that requests earn.
         cold_s: Time for which an upstream is cold after a start, in seconds.
         cold_per_s: Requests per second that one entry may send to a cold
             upstream; None for no limit, 0 if it may send none.
@@ -82,7 +80,6 @@
     cold_slots: int = 1
     ramp_s: float = 4.0
     extra_copies: float | None = None
-    extra_per_s: float = 0.0
     cold_s: float = 0.0
     cold_per_s: float | None = None
     share: float = 1.0
--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -20,9 +20,10 @@
     ForwardService,
 )
 from berylspool.version.move import Move, MoveState
-from berylspool.version.pool.subsetting import connections_per_entry
+from berylspool.version.upstream.subsetting import connections_per_entry
 
 __all__ = [
+    "HELD_COPY_SHARE",
     "ListedUpstream",
     "Listing",
     "SharedLimits",
@@ -35,11 +36,9 @@
 # Synthetic route that reads every service: pools exist only for services that a
 # route of the configuration reads, and a forwarding plan has its own routes.
 ALL_SERVICES_ROUTE = "all services"
-# A full balance can be spent in one window together with everything that is
-# added during the window, so both together make up what the window allows.
-MAX_BALANCE_SHARE = 0.5
-# A balance that is limited to less than one copy can never be spent.
-MIN_BALANCE_COPIES = 1.0
+# Share of the extra copies that entries hold in advance, in even parts. Control
+# lends the rest to the entries that need it.
+HELD_COPY_SHARE = 0.5
 # An entry that shares an upstream with many others seldom has more than two
 # concurrent requests for it.
 MIN_SHARED_CONNECTIONS = 2
@@ -84,20 +83,15 @@
         entries: Number of entries that share each upstream.
         extra_copies: Copies beyond the first that a service may get in each
             window, in addition to those that requests earn.
-        extra_window_s: Length of that window, in seconds.
         cold_factor: Request rate that a cold upstream may get, as a multiple
             of its stated rate.
         cold_slack: Requests that it may get beyond that rate in any second.
-        busy_entries: Number of entries that have requests, among which the
-            extra copies are divided; 0 if all have.
     """
 
     entries: int = 1
     extra_copies: float = 0.0
-    extra_window_s: float = 10.0
     cold_factor: float = 1.0
     cold_slack: float = 0.0
-    busy_entries: int = 0
 
 
 def listing_difference(
@@ -222,12 +216,6 @@
     """Return the limits of one entry on an upstream of a service."""
     sharing_entries = max(1, shared_limits.entries)
     share = connections_per_entry(service.connections, sharing_entries)
-    extra_copies = shared_limits.extra_copies / max(
-        1, shared_limits.busy_entries or sharing_entries
-    )
-    max_balance = min(
-        extra_copies, max(MIN_BALANCE_COPIES, MAX_BALANCE_SHARE * extra_copies)
-    )
     # Callers are spread unevenly over entries, so a busy entry may exceed its
     # even share.
     min_connections = 1 if share >= 1.0 else MIN_SHARED_CONNECTIONS
@@ -238,8 +226,9 @@
         ),
         cold_slots=slots,
         ramp_s=0.0,
-        extra_copies=max_balance,
-        extra_per_s=(extra_copies - max_balance) / shared_limits.extra_window_s,
+        extra_copies=shared_limits.extra_copies
+        * HELD_COPY_SHARE
+        / sharing_entries,
         cold_s=service.cold_s,
         cold_per_s=entry_cold_rate(service.cold_per_s, shared_limits),
         share=share,
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -10,7 +10,6 @@
 import heapq
 
 from berylspool.common.event import UpstreamChanged
-from berylspool.common.part_event import HedgeDenied
 from berylspool.request.query import Part, PartRefused, Reason
 from berylspool.version.pool.attempt import (
     close_silent_connection,
@@ -25,13 +24,15 @@
     open_connections_per_slot,
     reconfigure,
 )
-from berylspool.version.pool.hedging import deposit, try_withdraw
+from berylspool.version.pool.extra_copies import hedge_part, on_copies_lent
+from berylspool.version.pool.hedging import deposit
 from berylspool.version.pool.message import (
     AttemptAnswered,
     ChoiceFactors,
     CloseRequested,
     ConnectionClosed,
     ConnectionOpened,
+    CopiesLent,
     FingerprintBlamed,
     HealthReported,
     LeaseUpdated,
@@ -54,12 +55,6 @@
     record_verdict,
     remove_expired,
 )
-from berylspool.version.pool.slow_start import (
-    allowed_slots,
-    is_warm,
-    on_instance_report,
-    on_send,
-)
 from berylspool.version.pool.state import (
     Attempt,
     Job,
@@ -68,11 +63,16 @@
     enqueue_job,
     fail_job,
     hedge_delay_s,
-    may_hedge,
     retry_after_s,
     set_timer,
 )
-from berylspool.version.pool.upstream_view import (
+from berylspool.version.upstream.slow_start import (
+    allowed_slots,
+    is_warm,
+    on_instance_report,
+    on_send,
+)
+from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
     choose_upstream,
@@ -117,6 +117,8 @@
         case LeaseUpdated(until=until):
             pool.lease_until = until
             actions = []
+        case CopiesLent(copies=copies):
+            actions = on_copies_lent(pool, copies, now)
         case CloseRequested():
             actions = _on_close_requested(pool)
         case Tick():
@@ -187,31 +189,13 @@
                 actions += fail_job(pool, job, Reason.TIMEOUT)
             case TimerKind.RETRY if not job.queue_items:
                 enqueue_job(pool, job, behind_first_copies=False)
+            case TimerKind.BORROW_TIMEOUT if job.retry_at is not None:
+                actions += fail_job(pool, job, job.last_reason)
             case TimerKind.HEDGE:
-                actions += _on_hedge_timer(pool, job, now)
+                actions += hedge_part(pool, job, now)
     return actions
 
 
-def _on_hedge_timer(pool: Pool, job: Job, now: float) -> list[PoolAction]:
-    if (
-        job.queue_items
-        or not may_hedge(pool, job)
-        or not job.part.idempotent
-        or is_suspect(pool.verdicts, job.part.fingerprint)
-    ):
-        return []
-    if not try_withdraw(pool.budget, now):
-        retry_at = now + hedge_delay_s(pool, job)
-        set_timer(pool, retry_at, job.part.id, TimerKind.HEDGE)
-        is_first, job.is_hedge_denied = not job.is_hedge_denied, True
-        tokens = round(pool.budget.tokens, 2)
-        denial = HedgeDenied(job.part.id, job.part.service, tokens)
-        return [Log(denial)] if is_first else []
-    job.hedges += 1
-    enqueue_job(pool, job, behind_first_copies=not pool.tuning.hedges_in_turn)
-    return []
-
-
 def _dispatch(pool: Pool, now: float) -> list[PoolAction]:
     """Send waiting parts while slots are free and the lease is valid."""
     actions: list[PoolAction] = []
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -3,7 +3,12 @@
 from berylspool.common.event import SilentReplaced
 from berylspool.common.part_event import PartAbandoned
 from berylspool.request.query import PartFailed, PartRows, Reason
-from berylspool.version.pool.hedging import record_duration, try_withdraw
+from berylspool.version.pool.extra_copies import (
+    has_reached_send_limit,
+    retry_within_budget,
+    schedule_retry,
+)
+from berylspool.version.pool.hedging import record_duration
 from berylspool.version.pool.message import (
     AttemptAnswered,
     Blame,
@@ -16,22 +21,13 @@
     OutrunReply,
     PoolAction,
     RowsReply,
-    TimerKind,
     UpstreamReply,
 )
 from berylspool.version.pool.quarantine import (
     Verdict,
     clear_suspect,
-    is_convicted,
     record_verdict,
 )
-from berylspool.version.pool.slow_start import (
-    REFUSAL_BACKOFF_S,
-    is_warm,
-    on_answer,
-    on_cold_report,
-    on_instance_report,
-)
 from berylspool.version.pool.state import (
     Attempt,
     Job,
@@ -40,9 +36,18 @@
     enqueue_job,
     fail_job,
     finish_job,
-    set_timer,
 )
-from berylspool.version.pool.upstream_view import ConnectionState, UpstreamView
+from berylspool.version.upstream.slow_start import (
+    REFUSAL_BACKOFF_S,
+    is_warm,
+    on_answer,
+    on_cold_report,
+    on_instance_report,
+)
+from berylspool.version.upstream.upstream_view import (
+    ConnectionState,
+    UpstreamView,
+)
 
 __all__ = [
     "close_silent_connection",
@@ -53,10 +58,6 @@
 
 MS_PER_S = 1000.0
 RETRY_DELAY_AFTER_LOSS_S = 0.02
-MAX_SENDS = 4
-# A service usually has two upstreams: each may refuse once, and one of them
-# twice.
-MAX_REFUSALS = 3
 MEAN_LATENCY_EWMA_WEIGHT = 0.05
 
 
@@ -112,7 +113,7 @@
             job.has_run = True
             job.last_reason = reason
             job.last_response = response or job.last_response
-            return [observed_reply, *_schedule_retry(pool, job, now, 0.0)]
+            return [observed_reply, *schedule_retry(pool, job, now, 0.0)]
     return []
 
 
@@ -198,45 +199,15 @@
         return finish_job(pool, job, result)
     if job.attempt_by_id or job.queue_items:
         return []
-    if _has_reached_send_limit(job) or (
-        pool.tuning.charges_refusals and not try_withdraw(pool.budget, now)
-    ):
+    if has_reached_send_limit(job):
         return fail_job(pool, job, reason)
     # The upstream did not run it, so a new send cannot run it twice.
+    if pool.tuning.charges_refusals:
+        return retry_within_budget(pool, job, now, 0.0)
     enqueue_job(pool, job, behind_first_copies=False)
     return []
 
 
-def _has_reached_send_limit(job: Job) -> bool:
-    """Return whether the part has reached its limit of sends or refusals."""
-    forward = job.part.forward
-    if forward is None:
-        return job.sends >= MAX_SENDS
-    runs = job.sends - job.refusals
-    return runs >= forward.attempts or job.refusals >= MAX_REFUSALS
-
-
-def _schedule_retry(
-    pool: Pool, job: Job, now: float, delay_s: float
-) -> list[PoolAction]:
-    """Schedule a retry after a failure, or fail the part.
-
-    A retry requires that the part is idempotent, has sends left, is not
-    convicted, and that the budget pays for it.
-    """
-    if job.attempt_by_id or job.queue_items:
-        return []
-    if (
-        not job.part.idempotent
-        or _has_reached_send_limit(job)
-        or is_convicted(pool.verdicts, job.part.fingerprint)
-        or not try_withdraw(pool.budget, now)
-    ):
-        return fail_job(pool, job, job.last_reason)
-    set_timer(pool, now + delay_s, job.part.id, TimerKind.RETRY)
-    return []
-
-
 def on_attempt_lost(
     pool: Pool,
     attempt_id: int | None,
@@ -277,7 +248,7 @@
                     job.part, reply, latency_s, False, attempt.upstream_id
                 )
             )
-    return actions + _schedule_retry(pool, job, now, RETRY_DELAY_AFTER_LOSS_S)
+    return actions + schedule_retry(pool, job, now, RETRY_DELAY_AFTER_LOSS_S)
 
 
 def close_silent_connection(
@@ -316,7 +287,7 @@
         return actions
     job.has_run = True
     job.last_reason = Reason.CONNECTION_LOST
-    return actions + _schedule_retry(pool, job, now, 0.0)
+    return actions + schedule_retry(pool, job, now, 0.0)
 
 
 def describe_abandoned(pool: Pool, job: Job, now: float) -> PartAbandoned:
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -5,7 +5,7 @@
 from berylspool.common.event import UpstreamChanged
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.attempt import on_attempt_lost
-from berylspool.version.pool.hedging import set_budget_limits
+from berylspool.version.pool.hedging import set_max_tokens
 from berylspool.version.pool.message import (
     CloseConnection,
     ConnectionClosed,
@@ -14,15 +14,18 @@
     OpenConnection,
     PoolAction,
 )
-from berylspool.version.pool.slow_start import (
+from berylspool.version.pool.state import Job, Pool, earliest_idle_since
+from berylspool.version.upstream.slow_start import (
     LISTING_LAG_S,
     mark_cold,
     on_connection_lost,
     on_instance_report,
 )
-from berylspool.version.pool.state import Job, Pool, earliest_idle_since
-from berylspool.version.pool.subsetting import choose_subset
-from berylspool.version.pool.upstream_view import (
+from berylspool.version.upstream.subsetting import (
+    choose_subset,
+    round_fraction,
+)
+from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     ConnectionView,
     UpstreamView,
@@ -155,7 +158,9 @@
     if pool.last_arrival_at is None and limits.share >= 1.0:
         pool.last_arrival_at = now
     if limits.extra_copies is not None:
-        set_budget_limits(pool.budget, limits.extra_copies, limits.extra_per_s)
+        pool_name = f"{tuning.entry}{pool.service}"
+        max_tokens = round_fraction(limits.extra_copies, pool_name)
+        set_max_tokens(pool.budget, max_tokens)
     upstream_by_id = {upstream.id: upstream for upstream in upstreams}
     subset = choose_subset(tuning.entry, tuning.zone, upstreams, limits.share)
     for view in pool.view_by_upstream.values():
--- a/berylspool/version/pool/hedging.py
+++ b/berylspool/version/pool/hedging.py
@@ -15,8 +15,9 @@
     "Budget",
     "HedgeDelay",
     "deposit",
+    "discard_excess",
     "record_duration",
-    "set_budget_limits",
+    "set_max_tokens",
     "try_withdraw",
 ]
 
@@ -54,25 +55,22 @@
     )
 
 
-def set_budget_limits(
-    budget: Budget, max_tokens: float, tokens_per_s: float = 0.0
-) -> None:
-    """Change an entry's share of a budget, as entries join and leave.
-
-    Args:
-        budget: The budget.
-        max_tokens: New maximum balance.
-        tokens_per_s: New number of tokens added per second.
+def set_max_tokens(budget: Budget, max_tokens: float) -> None:
+    """Change the maximum balance, as entries that share the budget change.
 
     Examples:
         >>> budget = Budget(0.5, max_tokens=8.0, tokens=6.0)
-        >>> set_budget_limits(budget, 4.0)
+        >>> set_max_tokens(budget, 4.0)
         >>> budget.tokens
         4.0
     """
     budget.max_tokens = max_tokens
-    budget.tokens_per_s = tokens_per_s
-    budget.tokens = min(budget.tokens, max_tokens)
+    discard_excess(budget)
+
+
+def discard_excess(budget: Budget) -> None:
+    """Discard tokens beyond the maximum balance, such as unused loans."""
+    budget.tokens = min(budget.tokens, budget.max_tokens)
 
 
 def try_withdraw(budget: Budget, now: float) -> bool:
@@ -95,7 +93,9 @@
     """
     if budget.refilled_at is not None:
         refill = (now - budget.refilled_at) * budget.tokens_per_s
-        budget.tokens = min(budget.max_tokens, budget.tokens + refill)
+        refilled = min(budget.max_tokens, budget.tokens + refill)
+        # Lent tokens may exceed the maximum until they are spent.
+        budget.tokens = max(budget.tokens, refilled)
     budget.refilled_at = now
     if budget.tokens < 1.0:
         return False
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -18,12 +18,14 @@
 __all__ = [
     "AttemptAnswered",
     "Blame",
+    "BorrowCopies",
     "CancelAttempt",
     "ChoiceFactors",
     "CloseConnection",
     "CloseRequested",
     "ConnectionClosed",
     "ConnectionOpened",
+    "CopiesLent",
     "ErrorReply",
     "FingerprintBlamed",
     "HealthReported",
@@ -57,6 +59,7 @@
     HEDGE = 1
     RETRY = 2
     SILENCE_TIMEOUT = 3
+    BORROW_TIMEOUT = 4
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,6 +205,18 @@
     until: float
 
 
+@dataclass(frozen=True, slots=True)
+class CopiesLent:
+    """Control has answered a request for extra copies.
+
+    Attributes:
+        copies: Copies that the pool may send beyond its own budget; 0 if
+            none are left.
+    """
+
+    copies: int
+
+
 @dataclass(frozen=True, slots=True)
 class CloseRequested:
     """The pool must drain: its service moves away or the process stops."""
@@ -222,6 +237,7 @@
     | FingerprintBlamed
     | PoolReconfigured
     | LeaseUpdated
+    | CopiesLent
     | CloseRequested
     | Tick
 )
@@ -288,6 +304,13 @@
     verdict: Verdict
 
 
+@dataclass(frozen=True, slots=True)
+class BorrowCopies:
+    """Ask control for extra copies, as the pool's own budget is spent."""
+
+    copies: int
+
+
 @dataclass(frozen=True, slots=True)
 class ChoiceFactors:
     """Measurements that the choice of an upstream was based on.
@@ -363,6 +386,7 @@
     | SendAttempt
     | CancelAttempt
     | Blame
+    | BorrowCopies
     | LogPartChosen
     | Log
     | ObservedReply
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -19,7 +19,7 @@
     TimerKind,
 )
 from berylspool.version.pool.quarantine import VerdictTable, is_convicted
-from berylspool.version.pool.upstream_view import (
+from berylspool.version.upstream.upstream_view import (
     BalancingPolicy,
     ConnectionState,
     UpstreamView,
@@ -74,6 +74,8 @@
             upstream.
         charges_refusals: Whether a send after an upstream's refusal is paid
             from the budget of extra copies.
+        borrows_copies: Whether control lends extra copies once that budget
+            is spent.
         initial_tokens: Initial balance of that budget.
         entry: Name of the entry, which determines its subset of upstreams.
         zone: Availability zone of the entry.
@@ -90,6 +92,7 @@
     opens_on_demand: bool = False
     isolates_suspects: bool = True
     charges_refusals: bool = False
+    borrows_copies: bool = False
     initial_tokens: float = MAX_BUDGET_TOKENS
     entry: str = ""
     zone: str = ""
@@ -135,8 +138,9 @@
         has_run: Whether an upstream may have run it.
         refusals: Number of refusals by upstreams that did not run it.
         warm_only: Whether it must not be sent to cold upstreams.
-        is_hedge_denied: Whether the budget denied a hedge; only the first
-            denial is logged.
+        is_hedge_denied: Whether the budget denied the latest hedge.
+        retry_at: Time of a retry that waits for a lent copy, monotonic
+            seconds; None if none does.
         last_reason: Reason of the latest failure or refusal.
         last_response: Latest complete error response of an upstream.
     """
@@ -153,6 +157,7 @@
     refusals: int = 0
     warm_only: bool = False
     is_hedge_denied: bool = False
+    retry_at: float | None = None
     last_reason: Reason = Reason.NO_UPSTREAM
     last_response: UpstreamResponse | None = None
 
--- a/berylspool/version/pool/task.py
+++ b/berylspool/version/pool/task.py
@@ -13,6 +13,7 @@
 from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
     Blame,
+    BorrowCopies,
     CancelAttempt,
     CloseConnection,
     Log,
@@ -76,6 +77,7 @@
         tuning: Settings of all pools.
         send_result: Receives the result of each part.
         share_verdict: Receives each verdict for the other pools.
+        borrow: Receives the number of extra copies to ask control for.
         on_drained: Called once when a closing pool has no parts or attempts
             left.
         on_observed: Receives each reply of an upstream and each outrun copy,
@@ -93,6 +95,7 @@
         *,
         send_result: Callable[[PartResult], None],
         share_verdict: Callable[[Blame], None],
+        borrow: Callable[[int], None],
         on_drained: Callable[[], None],
         on_observed: Callable[[ObservedReply], None],
         log: Callable[[Event], None],
@@ -103,6 +106,7 @@
         self.pool = Pool(service, version, tuning)
         self._send_result = send_result
         self._share_verdict = share_verdict
+        self._borrow = borrow
         self._on_drained = on_drained
         self._on_observed = on_observed
         self._log = log
@@ -159,6 +163,8 @@
                         action.fingerprint, action.upstream_id, action.verdict
                     )
                 )
+            case BorrowCopies(copies=copies):
+                self._borrow(copies)
             case ObservedReply():
                 self._on_observed(action)
 
--- a/berylspool/version/pool/timing.py
+++ b/berylspool/version/pool/timing.py
@@ -7,8 +7,8 @@
 import heapq
 
 from berylspool.version.pool.message import TimerKind
-from berylspool.version.pool.slow_start import next_send_at
 from berylspool.version.pool.state import Pool
+from berylspool.version.upstream.slow_start import next_send_at
 
 __all__ = ["max_wait_s"]
 
--- a/berylspool/version/pool/subsetting.py
+++ b/berylspool/version/upstream/subsetting.py
@@ -13,7 +13,12 @@
 from berylspool.request.fingerprint import hash64
 from berylspool.version.configuration import Upstream
 
-__all__ = ["choose_subset", "connections_per_entry", "hash_fraction"]
+__all__ = [
+    "choose_subset",
+    "connections_per_entry",
+    "hash_fraction",
+    "round_fraction",
+]
 
 # The rest is left for hedges outside the subset and for uneven hashing.
 SUBSET_CONNECTION_SHARE = 0.85
@@ -43,6 +48,27 @@
     return hash64(text) / HASH_RANGE
 
 
+def round_fraction(value: float, text: str) -> float:
+    """Round a value below one to 0 or 1, so that its mean over texts stays.
+
+    Args:
+        value: Share of something that is of use only as a whole.
+        text: Identity of the holder of the share.
+
+    Returns:
+        The value itself if it is at least one.
+
+    Examples:
+        >>> round_fraction(1.5, "a")
+        1.5
+        >>> [round_fraction(0.5, text) for text in "abcd"]
+        [0.0, 1.0, 0.0, 1.0]
+    """
+    if value >= 1.0:
+        return value
+    return float(hash_fraction(text) < value)
+
+
 def choose_subset(
     entry: str, zone: str, upstreams: Iterable[Upstream], share: float
 ) -> frozenset[str]:
--- a/berylspool/version/pool/tests/test_subsetting.py
+++ b/berylspool/version/upstream/tests/test_subsetting.py
@@ -18,16 +18,16 @@
     Tick,
 )
 from berylspool.version.pool.state import Pool, PoolTuning
-from berylspool.version.pool.subsetting import (
-    choose_subset,
-    connections_per_entry,
-)
 from berylspool.version.pool.tests.test_shared_upstreams import (
     PoolDriver,
     make_part,
 )
 from berylspool.version.pool.timing import max_wait_s
-from berylspool.version.pool.upstream_view import LeastLoaded
+from berylspool.version.upstream.subsetting import (
+    choose_subset,
+    connections_per_entry,
+)
+from berylspool.version.upstream.upstream_view import LeastLoaded
 
 SNAPSHOT = Snapshot("", 1)
 ZONES = ("z0", "z1", "z2")
--- a/berylspool/version/pool/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -13,7 +13,7 @@
 from berylspool.request.fingerprint import hash64
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.message import ReportedLoad
-from berylspool.version.pool.slow_start import (
+from berylspool.version.upstream.slow_start import (
     ColdRateLimit,
     SlowStart,
     allowed_slots,
