--- a/bench/forward.py
+++ b/bench/forward.py
@@ -1,9 +1,11 @@
 """Measures the processor time of a forwarding entry by size of its fan-out.
 
-Usage: python -m bench.forward [--shards 20,90] [--queries 100] [--profile]
+Usage: python -m bench.forward [--shards 20,90] [--queries 100] [--entries 1]
+    [--profile] [--profile-first]
 
 The upstreams are a minimal protocol in a separate process, so that only the
-processor time of the entry is measured.
+processor time of the entry is measured. The first query of an entry is measured
+apart: where many entries share the upstreams, it opens the connections.
 """
 
 import argparse
@@ -125,8 +127,18 @@
     return Listing(1, 1, listed_by_id)
 
 
-async def measure(ports, queries, profile):
-    """Return the mean processor time of a query, in seconds."""
+async def measure(ports, args, profile):
+    """Return the processor times of the first and of a later query.
+
+    Args:
+        ports: Ports of the upstreams.
+        args: Command-line arguments.
+        profile: Profiler, or None.
+
+    Returns:
+        Seconds of the first query, and mean seconds of a query after the
+        warm-up.
+    """
     services = {
         f"s{n // UPSTREAMS_PER_SERVICE}": None for n in range(len(ports))
     }
@@ -145,31 +157,46 @@
     routing_task = asyncio.ensure_future(forwarder.router.run())
     forwarder.router.inbox.put(LeaseGranted(float("inf")))
     forwarder.state.set_configuration(Configuration(1, document=Document(1)))
-    forwarder.state.set_entry_count(1)
+    forwarder.state.set_entry_count(args.entries)
     forwarder.state.set_listing(make_listing(ports))
     await asyncio.sleep(1.0)
-    used_s = 0.0
-    for number in range(WARM_UP_QUERIES + queries):
-        if number == WARM_UP_QUERIES:
-            used_s = time.process_time()
-            if profile:
-                profile.enable()
-        request = ForwardRequest(
-            id=f"q{number}",
-            method="GET",
-            host=HOST,
-            path="/a/1",
-            target="/a/1",
-            headers=(("Host", HOST), ("X-Request-Id", f"q{number}")),
-            body=b"",
-            deadline_s=DEADLINE_S,
-        )
-        await forwarder.answer(request, asyncio.Event())
+    is_profiling_first = profile and args.profile_first
+    if is_profiling_first:
+        profile.enable()
+    started_s = time.process_time()
+    await ask(forwarder, "first")
+    # Connections are opened while the answer is merged and after it.
+    await asyncio.sleep(0.5)
+    first_s = time.process_time() - started_s
+    if is_profiling_first:
+        profile.disable()
+    for number in range(WARM_UP_QUERIES):
+        await ask(forwarder, f"w{number}")
+    started_s = time.process_time()
+    if profile and not is_profiling_first:
+        profile.enable()
+    for number in range(args.queries):
+        await ask(forwarder, f"q{number}")
     if profile:
         profile.disable()
-    used_s = time.process_time() - used_s
+    used_s = time.process_time() - started_s
     routing_task.cancel()
-    return used_s / queries
+    return first_s, used_s / args.queries
+
+
+async def ask(forwarder, id):
+    """Send one query and wait for its answer."""
+    request = ForwardRequest(
+        id=id,
+        method="GET",
+        host=HOST,
+        path="/a/1",
+        target="/a/1",
+        headers=(("Host", HOST), ("X-Request-Id", id)),
+        body=b"",
+        deadline_s=DEADLINE_S,
+    )
+    await forwarder.answer(request, asyncio.Event())
 
 
 def main():
@@ -177,7 +204,9 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--shards", default="20,90")
     parser.add_argument("--queries", type=int, default=100)
+    parser.add_argument("--entries", type=int, default=1)
     parser.add_argument("--profile", action="store_true")
+    parser.add_argument("--profile-first", action="store_true")
     parser.add_argument("--serve", type=int, default=0)
     args = parser.parse_args()
     if args.serve:
@@ -192,11 +221,13 @@
         ) as upstreams:
             assert upstreams.stdout is not None
             ports = orjson.loads(upstreams.stdout.readline())
-            profile = cProfile.Profile() if args.profile else None
+            is_profiling = args.profile or args.profile_first
+            profile = cProfile.Profile() if is_profiling else None
             with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-                used_s = runner.run(measure(ports, args.queries, profile))
+                first_s, used_s = runner.run(measure(ports, args, profile))
             print(
-                f"{shards} shards: {used_s * 1000:.1f} ms a query, "
+                f"{shards} shards: first query {first_s * 1000:.1f} ms, then "
+                f"{used_s * 1000:.1f} ms a query, "
                 f"{used_s / shards * US_PER_S:.0f} us a part"
             )
             if profile:
