A wide request opens no more connections than it needs

What callers saw: the first requests at an entry were late, on top of the cause of the missing parts.

Cause: while the connection that a part waited for was opening, the pool also connected to all other upstreams of its subset. The first wide request opened 228 connections for 90 parts, in 28 ms of processor time, twice that at half a core. Each handshake takes a slot of its upstream, of which 62 entries open many at the same time in the first second.

Change: an entry that keeps to a subset connects in advance only while it is in use and the pool has no connection at all. Where every entry may connect to every upstream nothing changes.

--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -224,21 +224,18 @@
 
 
 def open_connections_on_demand(pool: Pool, now: float) -> list[PoolAction]:
-    """Keep one connection to each upstream of the entry's subset.
+    """Open a connection for each waiting part, and keep a few in advance.
 
-    Each waiting part gets one more, outside the subset only if no upstream of
-    the subset can take the part.  Opening a connection briefly occupies a slot
-    of the upstream, and all entries share its connection limit, so none beyond
-    the first is opened in advance, and none at an entry without recent parts.
+    Parts are connected outside the subset only if no upstream of the subset
+    can take them.  Opening a connection takes a slot of the upstream and
+    processor time of the entry, so a wide request opens no more than it needs.
     """
     actions: list[PoolAction] = []
     if pool.is_closing:
         return actions
     jobs = _waiting_jobs(pool)
-    arrived_at = pool.last_arrival_at
-    is_used = arrived_at is not None and now - arrived_at < UNUSED_AFTER_S
     for view in _rank_upstreams(pool, jobs, now):
-        if not jobs and (view.connection_by_id or not is_used):
+        if not jobs and view.connection_by_id:
             # The usual case: no part waits, and the upstream is connected.
             continue
         if view.is_outside_subset or not _may_connect(view, now):
@@ -255,6 +252,20 @@
     return actions
 
 
+def _keeps_connected(pool: Pool, view: UpstreamView, now: float) -> bool:
+    """Return whether to connect to an upstream without a part for it.
+
+    Connections to all upstreams are kept only if each entry may connect to all
+    of them; otherwise an entry in use keeps one connection of the pool.
+    """
+    arrived_at = pool.last_arrival_at
+    if arrived_at is None or now - arrived_at >= UNUSED_AFTER_S:
+        return False
+    return view.limits.share >= 1.0 or not any(
+        other.connection_by_id for other in pool.view_by_upstream.values()
+    )
+
+
 def _rank_upstreams(
     pool: Pool, jobs: list[Job], now: float
 ) -> Iterable[UpstreamView]:
@@ -355,7 +366,7 @@
     )
     room = view.limits.connections - len(live)
     max_new = min(free_slots(view, now) - usable_count, room)
-    wanted = 1 if not live else 0
+    wanted = 1 if not live and _keeps_connected(pool, view, now) else 0
     if part_count > opening_count:
         wanted = max(wanted, part_count - opening_count)
     for _ in range(max(0, min(wanted, max_new))):
