Upstreams without a connection cost nothing while no part waits

Cause: since an entry of a subset no longer connects in advance, most upstreams have no connection, and each step of a pool weighed opening one to each of them.

Change: whether to connect in advance is asked first.

--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -235,13 +235,15 @@
         return actions
     jobs = _waiting_jobs(pool)
     for view in _rank_upstreams(pool, jobs, now):
-        if not jobs and view.connection_by_id:
+        keeps_one = _keeps_connected(pool, view, now)
+        if not jobs and not keeps_one:
             # The usual case: no part waits, and the upstream is connected.
             continue
         if view.is_outside_subset or not _may_connect(view, now):
             continue
         part_count = _count_parts_for(pool, view, jobs)
-        opened = _open_needed_connections(pool, view, part_count, now)
+        min_new = int(keeps_one)
+        opened = _open_needed_connections(pool, view, part_count, min_new, now)
         actions += opened
         opened_count = sum(
             isinstance(action, OpenConnection) for action in opened
@@ -253,11 +255,13 @@
 
 
 def _keeps_connected(pool: Pool, view: UpstreamView, now: float) -> bool:
-    """Return whether to connect to an upstream without a part for it.
+    """Return whether to connect to an upstream that has no connection.
 
     Connections to all upstreams are kept only if each entry may connect to all
     of them; otherwise an entry in use keeps one connection of the pool.
     """
+    if view.connection_by_id:
+        return False
     arrived_at = pool.last_arrival_at
     if arrived_at is None or now - arrived_at >= UNUSED_AFTER_S:
         return False
@@ -317,7 +321,7 @@
     for view in outside_subset:
         if stuck_count > len(actions) and _may_connect(view, now):
             actions += _open_needed_connections(
-                pool, view, stuck_count - len(actions), now
+                pool, view, stuck_count - len(actions), 0, now
             )
     return actions
 
@@ -344,9 +348,9 @@
 
 
 def _open_needed_connections(
-    pool: Pool, view: UpstreamView, part_count: int, now: float
+    pool: Pool, view: UpstreamView, part_count: int, min_new: int, now: float
 ) -> list[PoolAction]:
-    """Open the connections that a number of waiting parts need.
+    """Open the connections that waiting parts need, and at least `min_new`.
 
     Idle connections that no waiting part may use are closed to make room.
     """
@@ -366,7 +370,7 @@
     )
     room = view.limits.connections - len(live)
     max_new = min(free_slots(view, now) - usable_count, room)
-    wanted = 1 if not live and _keeps_connected(pool, view, now) else 0
+    wanted = min_new
     if part_count > opening_count:
         wanted = max(wanted, part_count - opening_count)
     for _ in range(max(0, min(wanted, max_new))):
