Entries judge upstreams by few samples, and remember refusals

What callers saw: while upstreams were slow or refused a part of their requests, an entry sent its parts to the same ones again.

Cause: the estimate of an upstream moved by a tenth with each answer and was forgotten after three seconds. One of 62 entries has a request every few seconds, so it never learned what it had met. Answer times of routes with different work were mixed, and refusals left no trace beyond 0.1 s. It is the same class as the budget: what each entry holds by itself thins out with their number.

Change: a sample weighs more the older the one before it is. Answer times count relative to the usual one of their route, refusals by their share; both fade over five seconds. A part may be refused once more than its service has upstreams, which had been a fixed three.

Evidence: the new tests have an entry with one request each 0.5 to 3 s; before, it kept to the slow and to the refusing upstream.

--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -301,6 +301,7 @@
     attempt = Attempt(
         pool.next_serial(),
         job.part.id,
+        job.part.route,
         view.upstream.id,
         connection.id,
         now,
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -63,6 +63,7 @@
 UNKNOWN_AGE_MS = -1
 RETRY_DELAY_AFTER_LOSS_S = 0.02
 MEAN_LATENCY_EWMA_WEIGHT = 0.05
+USUAL_LATENCY_EWMA_WEIGHT = 0.1
 
 
 def on_attempt_answered(
@@ -79,7 +80,9 @@
     latency_s = now - attempt.sent_at
     if view is not None:
         _record_connection_use(pool, view, event.connection_id, attempt, now)
-        _update_from_reply(view, event.reply, latency_s, now)
+        _update_from_reply(view, event.reply, now)
+        if isinstance(event.reply, RowsReply):
+            _record_latency(pool, view, attempt, latency_s, now)
         if event.load is not None:
             view.record_load(event.load, now)
     job = pool.job_by_part.get(attempt.part_id)
@@ -151,7 +154,7 @@
         view.slow_start, view.limits, now
     )
     if view is not None and elapsed_s > view.latency_s:
-        view.record_latency(elapsed_s, now)
+        _record_latency(pool, view, attempt, elapsed_s, now)
     return ObservedReply(job.part, OutrunReply(), elapsed_s, is_warm_now)
 
 
@@ -166,7 +169,7 @@
         if event.connection_id in view.connection_by_id and isinstance(
             event.reply, NotRunReply
         ):
-            _update_from_reply(view, event.reply, 0.0, now)
+            _update_from_reply(view, event.reply, now)
 
 
 def _record_duration(pool: Pool, job: Job, elapsed_s: float) -> None:
@@ -176,16 +179,32 @@
         record_duration(pool.hedge_delay, elapsed_s)
 
 
+def _record_latency(
+    pool: Pool,
+    view: UpstreamView,
+    attempt: Attempt,
+    latency_s: float,
+    now: float,
+) -> None:
+    """Add an answer time to the averages of an upstream and of the route."""
+    usual_by_route = pool.usual_latency_by_route
+    usual_s = usual_by_route.setdefault(attempt.route, latency_s)
+    view.record_latency(latency_s, usual_s, now)
+    usual_s += USUAL_LATENCY_EWMA_WEIGHT * (latency_s - usual_s)
+    usual_by_route[attempt.route] = usual_s
+
+
 def _update_from_reply(
-    view: UpstreamView, reply: UpstreamReply, latency_s: float, now: float
+    view: UpstreamView, reply: UpstreamReply, now: float
 ) -> None:
     """Update an upstream's state from a reply, even to a part that ended."""
     match reply:
         case RowsReply():
             on_answer(view.slow_start, now)
-            view.record_latency(latency_s, now)
+            view.record_reply(is_refusal=False, now=now)
             view.reconnect_delay_s = 0.0
         case NotRunReply(reason=Reason.OVERLOAD):
+            view.record_reply(is_refusal=True, now=now)
             view.slow_start.backoff_until = now + REFUSAL_BACKOFF_S
         case NotRunReply(reason=Reason.COLD):
             on_cold_report(view.slow_start)
@@ -210,7 +229,7 @@
         return finish_job(pool, job, result)
     if job.attempt_by_id or job.queue_items:
         return []
-    if has_reached_send_limit(job):
+    if has_reached_send_limit(pool, job):
         return fail_job(pool, job, reason)
     # The upstream did not run it, so a new send cannot run it twice.
     if pool.tuning.charges_refusals:
--- a/berylspool/version/pool/extra_copies.py
+++ b/berylspool/version/pool/extra_copies.py
@@ -32,20 +32,21 @@
 ]
 
 MAX_SENDS = 4
-# A service usually has two upstreams: each may refuse once, and one of them
-# twice.
-MAX_REFUSALS = 3
+# Each upstream of a service may refuse once, and this many may refuse again.
+MAX_REPEATED_REFUSALS = 1
 # Many times a round trip to control.
 BORROW_TIMEOUT_S = 0.05
 
 
-def has_reached_send_limit(job: Job) -> bool:
+def has_reached_send_limit(pool: Pool, job: Job) -> bool:
     """Return whether the part has reached its limit of sends or refusals."""
     forward = job.part.forward
     if forward is None:
         return job.sends >= MAX_SENDS
     runs = job.sends - job.refusals
-    return runs >= forward.attempts or job.refusals >= MAX_REFUSALS
+    serving_count = sum(v.is_serving for v in pool.view_by_upstream.values())
+    max_refusals = serving_count + MAX_REPEATED_REFUSALS
+    return runs >= forward.attempts or job.refusals >= max_refusals
 
 
 def schedule_retry(
@@ -60,7 +61,7 @@
         return []
     if (
         not job.part.idempotent
-        or has_reached_send_limit(job)
+        or has_reached_send_limit(pool, job)
         or is_convicted(pool.verdicts, job.part.fingerprint)
     ):
         return fail_job(pool, job, job.last_reason)
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -107,6 +107,7 @@
     Attributes:
         id: Unique in the pool.
         part_id: Id of the part.
+        route: Route of its request.
         upstream_id: Id of the upstream.
         connection_id: Connection that carries it.
         sent_at: Time of sending, monotonic seconds.
@@ -116,6 +117,7 @@
 
     id: int
     part_id: str
+    route: str
     upstream_id: str
     connection_id: int
     sent_at: float
@@ -195,6 +197,8 @@
         min_lost_idle_s: Shortest idle time of those connections, in seconds.
         last_serial: Latest number given to an attempt, connection or heap item.
         mean_latency_s: Moving average of answer times, in seconds.
+        usual_latency_by_route: Moving average of answer times of each route, in
+            seconds.
         budget: Budget of extra copies.
         hedge_delay: Estimator of the hedge delay.
     """
@@ -219,6 +223,7 @@
     min_lost_idle_s: float = float("inf")
     last_serial: int = 0
     mean_latency_s: float = INITIAL_MEAN_LATENCY_S
+    usual_latency_by_route: dict[str, float] = field(default_factory=dict)
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -473,6 +473,61 @@
     assert "near" in chosen[len(chosen) // 2 :]
 
 
+def answer_one_part(driver, number, now, latency_by_upstream):
+    """Send a part and answer it before the next; return its upstream."""
+    driver.feed(PartArrived(make_part(number, attempts=1)), now)
+    send = driver.sent[-1]
+    upstream_id = driver.pool.attempt_by_id[send.attempt_id].upstream_id
+    reply = RowsReply(SNAPSHOT, (), "x")
+    driver.answer(send, reply, now + latency_by_upstream[upstream_id])
+    return upstream_id
+
+
+@pytest.mark.parametrize("interval_s", [0.5, 1.0, 2.0, 3.0])
+def test_entry_with_few_requests_avoids_an_upstream_that_became_slow(
+    interval_s,
+):
+    driver, latencies = PoolDriver(), {"near": 0.02, "far": 0.02}
+    chosen = [
+        answer_one_part(driver, number, 10.0 + interval_s * number, latencies)
+        for number in range(5)
+    ]
+    assert set(chosen) == {"near"}
+    latencies["near"] = 0.2
+    chosen = [
+        answer_one_part(driver, number, 30.0 + interval_s * number, latencies)
+        for number in range(100, 100 + int(8.0 / interval_s))
+    ]
+    assert 1 <= chosen.count("near") <= 3 and len(chosen) > 1
+    assert "far" in chosen
+
+
+def count_copies(driver, number, now, refusing):
+    """Send a part that some upstreams refuse; return the copies it took."""
+    count = len(driver.sent)
+    driver.feed(PartArrived(make_part(number)), now)
+    while driver.pool.attempt_by_id:
+        now += 0.01
+        send = driver.sent[-1]
+        attempt = driver.pool.attempt_by_id[send.attempt_id]
+        reply = RowsReply(SNAPSHOT, (), "x")
+        if attempt.upstream_id in refusing:
+            reply = NotRunReply(Reason.OVERLOAD)
+        driver.answer(send, reply, now)
+    return len(driver.sent) - count
+
+
+@pytest.mark.parametrize("interval_s", [0.3, 1.0, 2.0])
+def test_upstream_that_refuses_is_avoided_for_some_seconds(interval_s):
+    driver = PoolDriver(extra=10.0)
+    driver.pool.budget.tokens = 10.0
+    copies = [
+        count_copies(driver, number, 100.0 + interval_s * number, {"near"})
+        for number in range(int(4.0 / interval_s) + 1)
+    ]
+    assert copies[0] == 2 and set(copies[1:]) == {1}
+
+
 def test_upstream_with_an_overdue_answer_is_avoided():
     driver = PoolDriver()
     send_at_constant_rate(driver, 1.0, {"near": 0.02, "far": 0.02})
--- a/berylspool/version/upstream/balancing.py
+++ b/berylspool/version/upstream/balancing.py
@@ -12,7 +12,6 @@
 from berylspool.request.fingerprint import hash64
 from berylspool.version.upstream.slow_start import allowed_slots, is_warm
 from berylspool.version.upstream.upstream_view import (
-    INITIAL_LATENCY_S,
     UpstreamView,
     find_idle_connection,
     free_slots,
@@ -59,9 +58,9 @@
 
     Intended for upstreams that many entries share: the entry counts its own
     requests and takes those of other entries from the upstream's load reports.
-    Upstreams that become slow or pause are avoided, too: the expected time
-    follows answer times, and the age of an unanswered attempt once it exceeds
-    them.
+    Upstreams that become slow, pause or refuse are avoided, too: the expected
+    time follows answer times and refusals, and the age of an unanswered attempt
+    once it exceeds them.
 
     Attributes:
         zone: Zone of the entry.
@@ -127,7 +126,7 @@
     ] or candidates
     if len(candidates) <= 1:
         return candidates[0] if candidates else None
-    cost_of = cost_function(views, policy, now)
+    cost_of = cost_function(policy, now)
     costs = [cost_of(view) for view in candidates]
     lowest = min(costs)
     tied = [
@@ -154,27 +153,18 @@
         part_id: Part to send; breaks ties.
         now: Monotonic time in seconds.
     """
-    cost_of = cost_function(views, policy, now)
+    cost_of = cost_function(policy, now)
     return sorted(
         views, key=lambda v: (cost_of(v), hash64(part_id + v.upstream.id))
     )
 
 
-def _fastest_latency_s(views: Iterable[UpstreamView]) -> float:
-    """Return the answer time of the fastest upstream that has answered."""
-    latencies_s = [
-        v.latency_s for v in views if v.last_answer_at > float("-inf")
-    ]
-    return min(latencies_s, default=INITIAL_LATENCY_S)
-
-
 def cost_function(
-    views: Iterable[UpstreamView], policy: BalancingPolicy, now: float
+    policy: BalancingPolicy, now: float
 ) -> Callable[[UpstreamView], float]:
     """Return the function by whose value a policy prefers upstreams.
 
     Args:
-        views: Upstreams of the pool.
         policy: Load-balancing policy; it prefers the lowest cost.
         now: Monotonic time in seconds.
     """
@@ -184,11 +174,11 @@
         case FewestInFlight():
             return lambda v: v.in_flight
         case LeastLoaded(zone=zone, crossing=crossing):
-            fastest_s = _fastest_latency_s(views)
             return lambda v: (
-                v.expected_latency_s(fastest_s, now)
+                v.expected_slowness(now)
+                * v.expected_attempts(now)
                 * (v.in_flight + v.estimated_other_requests(now) + 1.0)
-                + fastest_s * (0.0 if v.upstream.zone == zone else crossing)
+                + (0.0 if v.upstream.zone == zone else crossing)
             )
         case ZoneAware(zone=zone, crossing_s=crossing_s):
             return lambda v: (
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -1,6 +1,7 @@
 """Known state of one upstream."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from berylspool.version.configuration import Limits, Upstream
@@ -21,10 +22,18 @@
 ]
 
 LATENCY_EWMA_WEIGHT = 0.1
+# An entry among many hears of an upstream only every few seconds, so the weight
+# of a sample grows with the time since the one before.
+MIN_SAMPLE_WEIGHT = 0.1
+SAMPLE_AGE_S = 2.0
 INITIAL_LATENCY_S = 0.005
+# Below the resolution of what is measured.
+MIN_LATENCY_S = 0.0001
 # Slow upstreams stay slow for seconds. A request to one that is still slow is
 # hedged.
-LATENCY_DECAY_S = 3.0
+SLOWNESS_DECAY_S = 5.0
+# The share of refusals counts as if at least one in ten requests were accepted.
+MAX_REFUSAL_SHARE = 0.9
 # About two service times, after which the requests that a report counted have
 # been answered.
 LOAD_REPORT_DECAY_S = 0.1
@@ -86,6 +95,12 @@
         load_reported_at: Time of that report, monotonic seconds.
         last_answer_at: Time of the latest answer that `latency_s` includes,
             monotonic seconds.
+        slowness: Moving average of its answer times, each relative to the
+            usual one of the same route; 1 is usual.
+        refusal_share: Moving average of the share of its replies that refused
+            a request without running it.
+        last_reply_at: Time of the latest reply that `refusal_share` includes,
+            monotonic seconds.
         sent_at_by_attempt: Send time of each unanswered attempt, monotonic
             seconds.
         cold_rate: Limit of its request rate while it is cold.
@@ -109,6 +124,9 @@
     other_requests: float = 0.0
     load_reported_at: float = float("-inf")
     last_answer_at: float = float("-inf")
+    slowness: float = 1.0
+    refusal_share: float = 0.0
+    last_reply_at: float = float("-inf")
     sent_at_by_attempt: dict[int, float] = field(default_factory=dict)
     cold_rate: ColdRateLimit = field(default_factory=ColdRateLimit)
     is_outside_subset: bool = False
@@ -130,27 +148,55 @@
         age_s = now - self.load_reported_at
         return self.other_requests * max(0.0, 1.0 - age_s / LOAD_REPORT_DECAY_S)
 
-    def record_latency(self, latency_s: float, now: float) -> None:
-        """Add one answer time in seconds to the moving average."""
+    def record_latency(
+        self, latency_s: float, usual_s: float, now: float
+    ) -> None:
+        """Add one answer time to the moving averages.
+
+        Args:
+            latency_s: Answer time in seconds.
+            usual_s: Usual answer time of the same route, in seconds.
+            now: Monotonic time in seconds.
+        """
         self.latency_s += LATENCY_EWMA_WEIGHT * (latency_s - self.latency_s)
+        weight = _sample_weight(now - self.last_answer_at)
+        ratio = latency_s / max(usual_s, MIN_LATENCY_S)
+        self.slowness += weight * (ratio - self.slowness)
         self.last_answer_at = now
 
-    def expected_latency_s(self, fastest_s: float, now: float) -> float:
-        """Return the expected time of one more request, in seconds.
+    def record_reply(self, is_refusal: bool, now: float) -> None:
+        """Add one reply to the share of refusals."""
+        weight = _sample_weight(now - self.last_reply_at)
+        self.refusal_share += weight * (is_refusal - self.refusal_share)
+        self.last_reply_at = now
 
-        The moving average decays to `fastest_s` without new answers, so that an
-        upstream that was slow is tried again.  The result is at least the age
-        of the oldest unanswered attempt.
+    def expected_attempts(self, now: float) -> float:
+        """Return how many attempts one request needs, by recent refusals."""
+        attempts = 1.0 / (1.0 - min(self.refusal_share, MAX_REFUSAL_SHARE))
+        return 1.0 + (attempts - 1.0) * _decay(now - self.last_reply_at)
 
-        Args:
-            fastest_s: Answer time of the fastest upstream, in seconds.
-            now: Monotonic time in seconds.
+    def expected_slowness(self, now: float) -> float:
+        """Return the expected time of one more request; 1 is usual.
+
+        Without new answers the average approaches 1, so that an upstream that
+        was slow is tried again.  The result is at least the age of the oldest
+        unanswered attempt.
         """
-        age_s = now - self.last_answer_at
-        weight = max(0.0, 1.0 - age_s / LATENCY_DECAY_S)
-        decayed_s = fastest_s + (self.latency_s - fastest_s) * weight
+        weight = _decay(now - self.last_answer_at)
+        slowness = 1.0 + (self.slowness - 1.0) * weight
         oldest_sent_at = min(self.sent_at_by_attempt.values(), default=now)
-        return max(decayed_s, now - oldest_sent_at)
+        overdue = (now - oldest_sent_at) / max(self.latency_s, MIN_LATENCY_S)
+        return max(slowness, overdue)
+
+
+def _sample_weight(age_s: float) -> float:
+    """Return the weight of a sample, by the age of the one before."""
+    return max(MIN_SAMPLE_WEIGHT, 1.0 - math.exp(-age_s / SAMPLE_AGE_S))
+
+
+def _decay(age_s: float) -> float:
+    """Return the weight of an average whose latest sample has a given age."""
+    return max(0.0, 1.0 - age_s / SLOWNESS_DECAY_S)
 
 
 def free_slots(view: UpstreamView, now: float) -> int:
