Pools that want copies ask together, and pause after a denial

Cause: each slow part of a pool whose budget is spent asked control by itself. A service whose upstreams are all slow would have every entry ask for every part, though control has nothing left to lend.

Change: what the pools of an entry want in one turn goes in one heartbeat, summed by pool. A pool that was lent nothing does not ask for 0.1 s; until then its retries fail at once and its hedges are denied.

--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -116,7 +116,7 @@
         self._get_convicted = get_convicted
         self._on_convicted = on_convicted
         self._on_lent = on_lent
-        self._wanted: list[ExtraCopies] = []
+        self._wanted_by_pool: dict[tuple[str, str], ExtraCopies] = {}
         self._listing = Listing()
         self._granted_at = float("-inf")
         self._has_addressed_nodes = control_port is not None
@@ -182,7 +182,7 @@
             self._listing.epoch,
             self._listing.serial,
             self._get_convicted(),
-            tuple(self._wanted),
+            tuple(self._wanted_by_pool.values()),
         )
 
     def _send_heartbeat(self) -> None:
@@ -201,13 +201,14 @@
 
     def _ask_for_copies(self) -> None:
         """Ask the leader for extra copies; without one, none are lent."""
-        if not self._wanted:
+        if not self._wanted_by_pool:
             return
         if self._knows_leader():
             self._links.send(self._leader, self._build_heartbeat())
         else:
-            self._on_lent(tuple(replace(c, copies=0) for c in self._wanted))
-        self._wanted.clear()
+            wanted = self._wanted_by_pool.values()
+            self._on_lent(tuple(replace(w, copies=0) for w in wanted))
+        self._wanted_by_pool.clear()
 
     def _log_lease_change(self) -> None:
         is_held = self._clock() < self._lease_until
@@ -221,8 +222,11 @@
             case TableDrained(epoch=epoch):
                 self._drained_epoch = max(self._drained_epoch, epoch)
                 self._send_heartbeat()
-            case ExtraCopies():
-                self._wanted.append(message)
+            case ExtraCopies(service=service, version=version, copies=copies):
+                pool = (service, version)
+                if pool in self._wanted_by_pool:
+                    copies += self._wanted_by_pool[pool].copies
+                self._wanted_by_pool[pool] = replace(message, copies=copies)
             case Leave():
                 self._is_leaving = True
                 self._send_heartbeat()
--- a/berylspool/process/entry/tests/test_control_client.py
+++ b/berylspool/process/entry/tests/test_control_client.py
@@ -5,6 +5,7 @@
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
+    ExtraCopies,
     Grant,
     NotLeader,
 )
@@ -24,7 +25,7 @@
 OTHER_NODE = "127.0.0.9"
 
 
-def make_client():
+def make_client(on_lent=lambda lent: None):
     seed = ControlSettings(
         address=f"{SEED}:1",
         admin_address=f"{SEED}:2",
@@ -42,6 +43,7 @@
         on_table=lambda table: None,
         take_tallies=lambda: (),
         control_port=1,
+        on_lent=on_lent,
     )
 
 
@@ -66,6 +68,44 @@
     assert linked == {SEED, OTHER_NODE}
 
 
+def loans_of(leader_is_known):
+    """Ask for copies of three pools; return heartbeats and loans."""
+    sent, lent = [], []
+
+    async def run():
+        client = make_client(on_lent=lent.append)
+        client._links.send = lambda node, message: sent.append(message)
+        if leader_is_known:
+            client._handle(ControlMessage(SEED, Grant(0.0, 2.0, 0, 0)))
+            lent.clear()
+        for service, version in (("a", ""), ("b", ""), ("a", ""), ("a", "v2")):
+            client._handle(ExtraCopies(service, version, 1))
+        client._ask_for_copies()
+        client._ask_for_copies()
+
+    asyncio.run(run())
+    return sent, lent
+
+
+def test_copies_wanted_in_one_turn_are_asked_for_in_one_heartbeat():
+    [heartbeat], lent = loans_of(leader_is_known=True)
+    assert heartbeat.wanted == (
+        ExtraCopies("a", "", 2),
+        ExtraCopies("b", "", 1),
+        ExtraCopies("a", "v2", 1),
+    )
+    assert not lent
+
+
+def test_nothing_is_lent_while_no_leader_is_known():
+    sent, [lent] = loans_of(leader_is_known=False)
+    assert not sent
+    assert {(loan.service, loan.copies) for loan in lent} == {
+        ("a", 0),
+        ("b", 0),
+    }
+
+
 def test_starting_entry_gets_only_the_newest_configuration():
     bodies = [bytes([n]) * 100 for n in range(1, 30)]
     deltas = [
--- a/berylspool/version/pool/extra_copies.py
+++ b/berylspool/version/pool/extra_copies.py
@@ -36,6 +36,8 @@
 MAX_REPEATED_REFUSALS = 1
 # Many times a round trip to control.
 BORROW_TIMEOUT_S = 0.05
+# Copies that control lends come back at a few per second for each service.
+BORROW_PAUSE_S = 0.1
 
 
 def has_reached_send_limit(pool: Pool, job: Job) -> bool:
@@ -76,7 +78,7 @@
     if try_withdraw(pool.budget, now):
         set_timer(pool, retry_at, job.part.id, TimerKind.RETRY)
         return []
-    if not pool.tuning.borrows_copies:
+    if not _may_borrow(pool, now):
         return fail_job(pool, job, job.last_reason)
     job.retry_at = retry_at
     give_up_at = now + max(delay_s, BORROW_TIMEOUT_S)
@@ -103,11 +105,16 @@
         return []
     ask_again_at = now + hedge_delay_s(pool, job)
     set_timer(pool, ask_again_at, job.part.id, TimerKind.HEDGE)
-    if pool.tuning.borrows_copies:
+    if _may_borrow(pool, now):
         return [BorrowCopies(1)]
     return [_log_denial(pool, job)] if is_first_denial else []
 
 
+def _may_borrow(pool: Pool, now: float) -> bool:
+    """Return whether control may have copies to lend."""
+    return pool.tuning.borrows_copies and now >= pool.borrow_after
+
+
 def _log_denial(pool: Pool, job: Job) -> Log:
     tokens = round(pool.budget.tokens, 2)
     return Log(HedgeDenied(job.part.id, job.part.service, tokens))
@@ -125,6 +132,8 @@
         Actions for the pool's task, in order.
     """
     pool.budget.tokens += copies
+    if not copies:
+        pool.borrow_after = now + BORROW_PAUSE_S
     actions: list[PoolAction] = []
     for job in list(pool.job_by_part.values()):
         is_waiting = job.retry_at is not None or job.is_hedge_denied
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -200,6 +200,8 @@
         usual_latency_by_route: Moving average of answer times of each route, in
             seconds.
         budget: Budget of extra copies.
+        borrow_after: Time before which control is not asked for copies again,
+            monotonic seconds.
         hedge_delay: Estimator of the hedge delay.
     """
 
@@ -224,6 +226,7 @@
     last_serial: int = 0
     mean_latency_s: float = INITIAL_MEAN_LATENCY_S
     usual_latency_by_route: dict[str, float] = field(default_factory=dict)
+    borrow_after: float = float("-inf")
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
--- a/berylspool/version/pool/tests/test_shared_upstreams.py
+++ b/berylspool/version/pool/tests/test_shared_upstreams.py
@@ -32,7 +32,10 @@
 )
 from berylspool.version.pool.admission import step
 from berylspool.version.pool.attempt import UNKNOWN_AGE_MS
-from berylspool.version.pool.extra_copies import BORROW_TIMEOUT_S
+from berylspool.version.pool.extra_copies import (
+    BORROW_PAUSE_S,
+    BORROW_TIMEOUT_S,
+)
 from berylspool.version.pool.message import (
     AttemptAnswered,
     BorrowCopies,
@@ -317,6 +320,20 @@
     assert [type(r).__name__ for r in driver.results()] == ["PartFailed"]
 
 
+def test_pool_pauses_before_it_asks_again_after_control_lent_nothing():
+    driver = fail_one_part(lent=0)
+    driver.other_actions.clear()
+    for number in range(2, 12):
+        now = 0.012 + number * BORROW_PAUSE_S / 4
+        driver.feed(PartArrived(make_part(number)), now)
+        driver.answer(driver.sent[-1], ErrorReply(Reason.UPSTREAM_ERROR), now)
+        if BorrowCopies(1) in driver.other_actions[-2:]:
+            driver.feed(CopiesLent(0), now + 0.001)
+    assert 1 <= driver.other_actions.count(BorrowCopies(1)) <= 3
+    results = [type(result).__name__ for result in driver.results()]
+    assert results == ["PartFailed"] * 10
+
+
 def test_lent_copy_that_is_no_longer_needed_is_not_kept():
     driver = PoolDriver(extra=1.0, tuning=BORROWING_TUNING)
     driver.pool.budget.tokens = 0.5
