Connections are told by message that a response is no longer needed

Cause: the transport called a method of the task that owns the connection.

Change: the task gets a message, in order with the requests that it sends. The text on overdue attempts says what they count.

--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import httptools
@@ -45,6 +46,11 @@
 MAX_UNNEEDED_BYTES = 64 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class ResponseUnneeded:
+    """The response that is being received is no longer needed."""
+
+
 class _HttpProtocol(asyncio.Protocol):
     """Parses the bytes of one connection and reports each whole response."""
 
@@ -123,7 +129,8 @@
         pool: Mailbox[PoolEvent],
         clock: Callable[[], float],
     ) -> None:
-        self.inbox: Mailbox[SendAttempt | StopTask] = Mailbox()
+        self.inbox: Mailbox[SendAttempt | ResponseUnneeded | StopTask]
+        self.inbox = Mailbox()
         self._id = connection_id
         self._upstream = upstream
         self._pool = pool
@@ -177,6 +184,10 @@
                 match message:
                     case StopTask():
                         return
+                    case ResponseUnneeded():
+                        # Only a short rest is worth keeping the connection.
+                        rest_ends_at = self.received_bytes + MAX_UNNEEDED_BYTES
+                        self._max_bytes = min(self._max_bytes, rest_ends_at)
                     case SendAttempt():
                         self._write(message)
                         close_at = (
@@ -206,12 +217,6 @@
         if not self.is_idle and self.received_bytes > max_bytes:
             self.stop()
 
-    def limit_unneeded_response(self) -> None:
-        """Accept only a short rest of a response that is no longer needed."""
-        self._max_bytes = min(
-            self._max_bytes, self.received_bytes + MAX_UNNEEDED_BYTES
-        )
-
     def _write(self, message: SendAttempt) -> None:
         self._pending = message
         self.received_bytes = 0
@@ -308,7 +313,7 @@
         finish, because a new connection costs the upstream more than the
         rest of the work.
         """
-        if action.is_caller_gone and connection is not None:
-            connection.inbox.put(StopTask())
-        elif isinstance(connection, PlatformConnection):
-            connection.limit_unneeded_response()
+        if connection is not None:
+            is_caller_gone = action.is_caller_gone
+            message = StopTask() if is_caller_gone else ResponseUnneeded()
+            connection.inbox.put(message)
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -179,8 +179,8 @@
         """Return the expected time of one more request; 1 is usual.
 
         Without new answers the average approaches 1, so that an upstream that
-        was slow is tried again.  The result is at least the age of the oldest
-        unanswered attempt.
+        was slow is tried again.  An attempt that has been unanswered for longer
+        than the average counts with its time so far.
         """
         weight = _decay(now - self.last_answer_at)
         slowness = 1.0 + (self.slowness - 1.0) * weight
