Ports that tests draw stay bound until their processes listen

Cause: free_ports closed the ports that it had drawn, so an outgoing connection of any process could take one before its listener did. Two of four failures of the soak's test are of this kind.

Change: the sockets stay bound without listening, with reuse of addresses, which lets a listener bind them and nothing else.

--- a/berylspool/tests/cluster.py
+++ b/berylspool/tests/cluster.py
@@ -1,6 +1,7 @@
 """Runs a complete deployment in one event loop, on free loopback ports."""
 
 import asyncio
+import collections
 import contextlib
 import socket
 import time
@@ -19,21 +20,25 @@
 __all__ = ["Cluster", "post_json", "run_cluster"]
 
 WAIT_TIMEOUT_S = 20.0
+MAX_RESERVED_PORTS = 512
+RESERVING_SOCKETS: collections.deque[socket.socket] = collections.deque(
+    maxlen=MAX_RESERVED_PORTS
+)
 
 
 def free_ports(count):
     """Return distinct loopback ports that are free.
 
-    All are bound before any is closed, so that the kernel does not return one
-    twice.
+    The ports stay bound, so that the kernel gives none of them to an outgoing
+    connection before a process listens on it.  Listeners may still bind them,
+    as both sides reuse addresses and this one does not listen.
     """
     sockets = [socket.socket() for _ in range(count)]
     for bound_socket in sockets:
+        bound_socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         bound_socket.bind(("127.0.0.1", 0))
-    ports = [bound_socket.getsockname()[1] for bound_socket in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return ports
+    RESERVING_SOCKETS.extend(sockets)
+    return [bound_socket.getsockname()[1] for bound_socket in sockets]
 
 
 def make_settings(folder, entries, controls, shards, **changes):
