--- a/berylspool/process/control/tests/test_copy_lending.py
+++ b/berylspool/process/control/tests/test_copy_lending.py
@@ -14,8 +14,11 @@
 from berylspool.process.group.state_machine import ControlState
 from berylspool.process.settings import RoutingSettings
 from berylspool.version.listing import HELD_COPY_SHARE
+from berylspool.version.pool.tests.test_shared_upstreams import (
+    WINDOW_S,
+    most_in_a_window,
+)
 
-WINDOW_S = 10.0
 SLACK = 40.0
 LENDABLE = SLACK * (1.0 - HELD_COPY_SHARE)
 ROUTING = RoutingSettings(extra_slack=SLACK, extra_window_s=WINDOW_S)
@@ -26,12 +29,6 @@
     return lent.copies
 
 
-def most_in_a_window(times):
-    return max(
-        sum(start <= at < start + WINDOW_S for at in times) for start in times
-    )
-
-
 @pytest.mark.parametrize("seed", range(10))
 def test_copies_lent_in_any_window_stay_within_the_limit(seed):
     pick, now, times = random.Random(seed), 0.0, []
