Parts of a wide request share their turns of the router and its pools

Cause: each part went from task to task (request, router, pool, connection, and back), and each of 90 pools and 90 connections woke up for one part. So the more shards an index has, the more of an entry's time goes into hand-overs.

Change: the router runs all pools of a process (PoolSet) and takes all parts of a request, and all answers that arrived together, in one turn. A connection to the platform's upstreams handles a message as it is put. Their timeouts share one timer (SharedTimer). The head of a request is encoded once for all its parts, and names of headers are compared as bytes.

--- a/berylspool/common/mailbox.py
+++ b/berylspool/common/mailbox.py
@@ -45,7 +45,8 @@
     def set_put_callback(self, callback: Callable[[], None] | None) -> None:
         """Set a callback that runs on each `put`; None removes it.
 
-        It serves a reader that awaits something other than `take`.
+        It serves a reader that awaits something other than `take`, or that
+        handles its messages without a wake-up of its own.
         """
         self._put_callback = callback
 
@@ -60,6 +61,10 @@
         """
         if not self._messages and (timeout_s is None or timeout_s > 0):
             await self._wait(timeout_s)
+        return self.take_pending()
+
+    def take_pending(self) -> list[T]:
+        """Take all messages without waiting."""
         messages = list(self._messages)
         self._messages.clear()
         return messages
--- /dev/null
+++ b/berylspool/common/shared_timer.py
@@ -0,0 +1,75 @@
+"""Many timeouts on one timer of the event loop."""
+
+import asyncio
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass
+
+__all__ = ["SharedTimer", "Timeout"]
+
+
+@dataclass(slots=True, eq=False)
+class Timeout:
+    """A call at a time.
+
+    Attributes:
+        callback: Called at that time; None once it has run or is cancelled.
+    """
+
+    callback: Callable[[], None] | None
+
+    def cancel(self) -> None:
+        """Prevent the call."""
+        self.callback = None
+
+
+class SharedTimer:
+    """Runs callbacks at their times.
+
+    Nearly all timeouts are cancelled, and to set and cancel a timer of the
+    event loop costs more than to parse an answer. Here both are cheap: the
+    timer of the loop is set again only for an earlier time.
+
+    Args:
+        clock: Returns monotonic time in seconds.
+    """
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._last_serial = 0
+        self._timeouts: list[tuple[float, int, Timeout]] = []
+        self._wake_at = float("inf")
+        self._handle: asyncio.TimerHandle | None = None
+
+    def call_after(
+        self, delay_s: float, callback: Callable[[], None]
+    ) -> Timeout:
+        """Call a function after a delay in seconds, unless it is cancelled."""
+        timeout = Timeout(callback)
+        self._last_serial += 1
+        due_at = self._clock() + delay_s
+        heapq.heappush(self._timeouts, (due_at, self._last_serial, timeout))
+        if due_at < self._wake_at:
+            self._set_timer(due_at)
+        return timeout
+
+    def _set_timer(self, wake_at: float) -> None:
+        if self._handle is not None:
+            self._handle.cancel()
+        self._wake_at = wake_at
+        self._handle = asyncio.get_running_loop().call_later(
+            max(0.0, wake_at - self._clock()), self._run_due
+        )
+
+    def _run_due(self) -> None:
+        self._handle, self._wake_at = None, float("inf")
+        now = self._clock()
+        while self._timeouts:
+            due_at, _, timeout = self._timeouts[0]
+            if timeout.callback is not None and due_at > now:
+                self._set_timer(min(due_at, self._wake_at))
+                return
+            heapq.heappop(self._timeouts)
+            callback, timeout.callback = timeout.callback, None
+            if callback is not None:
+                callback()
--- a/berylspool/connection/upstream.py
+++ b/berylspool/connection/upstream.py
@@ -21,11 +21,10 @@
     ConnectionClosed,
     ConnectionOpened,
     HealthReported,
-    PoolEvent,
     SendAttempt,
     StopTask,
 )
-from berylspool.version.pool.task import ConnectionTask
+from berylspool.version.pool.transport import ConnectionTask, PoolInbox
 
 __all__ = ["UpstreamConnection", "UpstreamHealthWatch"]
 
@@ -60,7 +59,7 @@
     """
 
     def __init__(
-        self, connection_id: int, upstream: Upstream, pool: Mailbox[PoolEvent]
+        self, connection_id: int, upstream: Upstream, pool: PoolInbox
     ) -> None:
         self.inbox: Mailbox[SendAttempt | StopTask] = Mailbox()
         self._id = connection_id
@@ -147,7 +146,7 @@
         pool: Inbox of the pool.
     """
 
-    def __init__(self, upstream: Upstream, pool: Mailbox[PoolEvent]) -> None:
+    def __init__(self, upstream: Upstream, pool: PoolInbox) -> None:
         self.inbox: Mailbox[CancelRequest | StopTask] = Mailbox()
         self._upstream = upstream
         self._pool = pool
@@ -225,13 +224,13 @@
     """Transport to upstreams that implement docs/UPSTREAM.md."""
 
     def create_connection(
-        self, connection_id: int, upstream: Upstream, pool: Mailbox[PoolEvent]
+        self, connection_id: int, upstream: Upstream, pool: PoolInbox
     ) -> ConnectionTask:
         """Return the task of a new connection."""
         return UpstreamConnection(connection_id, upstream, pool)
 
     def create_health_watch(
-        self, upstream: Upstream, pool: Mailbox[PoolEvent]
+        self, upstream: Upstream, pool: PoolInbox
     ) -> ConnectionTask | None:
         """Return the task for health checks and cancellations."""
         return UpstreamHealthWatch(upstream, pool)
--- a/berylspool/platform/tests/test_wide_request.py
+++ b/berylspool/platform/tests/test_wide_request.py
@@ -119,6 +119,7 @@
     router.cancel()
     for server in servers:
         server.close()
+    await asyncio.sleep(0.1)
     assert first.coverage.is_whole and second.coverage.is_whole
     return count
 
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -9,12 +9,13 @@
 import httptools
 
 from berylspool.common.mailbox import Mailbox
+from berylspool.common.shared_timer import SharedTimer, Timeout
 from berylspool.platform import headers
 from berylspool.platform.upstream_codec import (
+    RequestEncoder,
     Response,
     decode_load,
     decode_response,
-    encode_request,
 )
 from berylspool.version.configuration import Upstream
 from berylspool.version.pool.message import (
@@ -22,11 +23,10 @@
     CancelAttempt,
     ConnectionClosed,
     ConnectionOpened,
-    PoolEvent,
     SendAttempt,
     StopTask,
 )
-from berylspool.version.pool.task import ConnectionTask
+from berylspool.version.pool.transport import ConnectionTask, PoolInbox
 
 __all__ = ["PlatformTransport"]
 
@@ -92,9 +92,8 @@
         self._response = Response()
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        key, text = name.decode("latin-1"), value.decode("latin-1")
-        self._response.headers.append((key, text))
-        self._response.value_by_name[key.lower()] = text
+        self._response.headers.append((name, value))
+        self._response.value_by_name[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self._response.status = self._parser.get_status_code()
@@ -111,11 +110,15 @@
 class PlatformConnection:
     """Task that owns one keep-alive connection, with one copy at a time.
 
+    Messages are handled as they are put, because a wake-up of the task would
+    cost as much as the copy itself. The task waits for the connection to end.
+
     Args:
         connection_id: Id of the connection in its pool.
         upstream: Upstream to connect to.
         pool: Inbox of the pool.
-        clock: Monotonic time in seconds.
+        timer: Timer of all connections.
+        encoder: Encoder of requests.
 
     Attributes:
         inbox: Receives copies to send, and the request to close.
@@ -126,21 +129,26 @@
         self,
         connection_id: int,
         upstream: Upstream,
-        pool: Mailbox[PoolEvent],
-        clock: Callable[[], float],
+        pool: PoolInbox,
+        timer: SharedTimer,
+        encoder: RequestEncoder,
     ) -> None:
         self.inbox: Mailbox[SendAttempt | ResponseUnneeded | StopTask]
         self.inbox = Mailbox()
         self._id = connection_id
         self._upstream = upstream
         self._pool = pool
-        self._clock = clock
+        self._timer = timer
+        self._encoder = encoder
         self.received_bytes = 0
         self._max_bytes = MAX_RESPONSE_BYTES
         self._pending: SendAttempt | None = None
+        self._has_stopped = asyncio.Event()
         self._is_close_planned = False
         self._has_stale_response = False
+        self._keep_alive = ""
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
+        self._timeout: Timeout | None = None
         self._protocol = _HttpProtocol(self)
 
     @property
@@ -161,11 +169,17 @@
             self._pool.put(
                 ConnectionOpened(self._id, self._upstream.id, self._upstream.id)
             )
-            await self._serve()
+            self._stop_after(self._idle_timeout_s)
+            self.inbox.set_put_callback(self._handle_messages)
+            self._handle_messages()
+            await self._has_stopped.wait()
         except (OSError, TimeoutError):
             # `ConnectionClosed` below notifies the pool, which reconnects.
             pass
         finally:
+            self.inbox.set_put_callback(None)
+            if self._timeout is not None:
+                self._timeout.cancel()
             if self._protocol.transport is not None:
                 self._protocol.transport.abort()
             self._pool.put(
@@ -176,32 +190,31 @@
                 )
             )
 
-    async def _serve(self) -> None:
-        close_at = self._clock() + self._idle_timeout_s
-        while True:
-            messages = await self.inbox.take(max(0.0, close_at - self._clock()))
-            for message in messages:
-                match message:
-                    case StopTask():
-                        return
-                    case ResponseUnneeded():
-                        # Only a short rest is worth keeping the connection.
-                        rest_ends_at = self.received_bytes + MAX_UNNEEDED_BYTES
-                        self._max_bytes = min(self._max_bytes, rest_ends_at)
-                    case SendAttempt():
-                        self._write(message)
-                        close_at = (
-                            self._clock() + message.timeout_s + ANSWER_GRACE_S
-                        )
-            if self._pending is None:
-                close_at = (
-                    self._idle_since + self._idle_timeout_s - IDLE_MARGIN_S
-                )
-            if self._clock() >= close_at:
-                self._is_close_planned = self._pending is None
+    def _handle_messages(self) -> None:
+        for message in self.inbox.take_pending():
+            if self._has_stopped.is_set():
+                # `ConnectionClosed` will tell the pool that it is lost.
                 return
-
-    _idle_since = 0.0
+            match message:
+                case SendAttempt():
+                    self._write(message)
+                    self._stop_after(message.timeout_s + ANSWER_GRACE_S)
+                case ResponseUnneeded():
+                    # Only a short rest is worth keeping the connection.
+                    rest_ends_at = self.received_bytes + MAX_UNNEEDED_BYTES
+                    self._max_bytes = min(self._max_bytes, rest_ends_at)
+                case StopTask():
+                    self._has_stopped.set()
+
+    def _stop_after(self, delay_s: float) -> None:
+        """Stop at a time that replaces the one before."""
+        if self._timeout is not None:
+            self._timeout.cancel()
+        self._timeout = self._timer.call_after(delay_s, self._handle_timeout)
+
+    def _handle_timeout(self) -> None:
+        self._is_close_planned = self._pending is None
+        self.stop()
 
     def count_bytes(self, count: int, has_head: bool) -> None:
         """Count received bytes; close the connection if they exceed a limit.
@@ -225,7 +238,9 @@
         self._max_bytes = MAX_PART_BYTES if is_part else MAX_RESPONSE_BYTES
         assert self._protocol.transport is not None
         self._protocol.transport.write(
-            encode_request(message.part, self._upstream, message.timeout_s)
+            self._encoder.encode(
+                message.part, self._upstream, message.timeout_s
+            )
         )
 
     def report_response(self, response: Response) -> None:
@@ -243,8 +258,8 @@
                 self._has_stale_response = True
                 return
         self._pending = None
-        self._idle_since = self._clock()
         self._update_idle_timeout(response)
+        self._stop_after(self._idle_timeout_s - IDLE_MARGIN_S)
         self._pool.put(
             AttemptAnswered(
                 self._id,
@@ -260,7 +275,11 @@
             self.stop_planned()
 
     def _update_idle_timeout(self, response: Response) -> None:
-        for parameter in response.get("keep-alive").split(","):
+        keep_alive = response.get("keep-alive")
+        if keep_alive == self._keep_alive:
+            return
+        self._keep_alive = keep_alive
+        for parameter in keep_alive.split(","):
             name, _, value = parameter.strip().partition("=")
             if name == "timeout" and value.isdigit():
                 self._idle_timeout_s = max(float(value), 2 * IDLE_MARGIN_S)
@@ -272,7 +291,7 @@
 
     def stop(self) -> None:
         """End the task."""
-        self.inbox.put(StopTask())
+        self._has_stopped.set()
 
 
 def _header_value(pairs: tuple[tuple[str, str], ...], name: str) -> str:
@@ -288,17 +307,18 @@
     """
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        self._clock = clock
+        self._timer = SharedTimer(clock)
+        self._encoder = RequestEncoder()
 
     def create_connection(
-        self, connection_id: int, upstream: Upstream, pool: Mailbox[PoolEvent]
+        self, connection_id: int, upstream: Upstream, pool: PoolInbox
     ) -> PlatformConnection:
         """Return the task of a new connection to an upstream."""
-        return PlatformConnection(connection_id, upstream, pool, self._clock)
+        return PlatformConnection(
+            connection_id, upstream, pool, self._timer, self._encoder
+        )
 
-    def create_health_watch(
-        self, upstream: Upstream, pool: Mailbox[PoolEvent]
-    ) -> None:
+    def create_health_watch(self, upstream: Upstream, pool: PoolInbox) -> None:
         """Return no health watch: responses and the list report the state."""
 
     def cancel(
--- a/berylspool/platform/upstream_codec.py
+++ b/berylspool/platform/upstream_codec.py
@@ -4,6 +4,7 @@
 
 from berylspool.platform import headers
 from berylspool.request.query import (
+    Forward,
     Part,
     Reason,
     Snapshot,
@@ -18,7 +19,7 @@
     UpstreamReply,
 )
 
-__all__ = ["Response", "decode_load", "decode_response", "encode_request"]
+__all__ = ["RequestEncoder", "Response", "decode_load", "decode_response"]
 
 RECORD_BYTES = 16
 STATUS_MISDIRECTED = 421
@@ -32,54 +33,85 @@
 
     Attributes:
         status: HTTP status; 0 until it is known.
-        headers: Headers in the order received.
+        headers: Headers in the order received, as bytes.
         value_by_name: Last value of each header, by lower-case name.
         chunks: Chunks of the body received so far.
     """
 
     status: int = 0
-    headers: list[tuple[str, str]] = field(default_factory=list)
-    value_by_name: dict[str, str] = field(default_factory=dict)
+    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    value_by_name: dict[bytes, bytes] = field(default_factory=dict)
     chunks: list[bytes] = field(default_factory=list)
 
     def get(self, name: str) -> str:
         """Return the value of a header, or an empty string."""
-        return self.value_by_name.get(name.lower(), "")
+        value = self.value_by_name.get(_LOWER_CASE_NAME[name])
+        return value.decode("latin-1") if value else ""
 
     @property
     def has_length(self) -> bool:
         """Whether the response itself marks the end of its body."""
         return (
-            "content-length" in self.value_by_name
-            or "transfer-encoding" in self.value_by_name
+            b"content-length" in self.value_by_name
+            or b"transfer-encoding" in self.value_by_name
             or self.status in STATUSES_WITHOUT_BODY
         )
 
 
-def encode_request(part: Part, upstream: Upstream, timeout_s: float) -> bytes:
-    """Encode one copy of a forwarded part as an HTTP request.
+class _LowerCaseNames(dict[str, bytes]):
+    """Names of headers in lower case as bytes, by the name as written."""
 
-    Args:
-        part: Part to send; it holds the caller's request.
-        upstream: Upstream to send it to; any other instance at the same
-            address refuses it.
-        timeout_s: Time left for the part, in seconds.
+    def __missing__(self, name: str) -> bytes:
+        encoded = self[name] = name.lower().encode("latin-1")
+        return encoded
 
-    Returns:
-        The whole HTTP request.
+
+_LOWER_CASE_NAME = _LowerCaseNames()
+
+
+class RequestEncoder:
+    """Encodes copies of forwarded parts as HTTP requests.
+
+    All parts of a request share its head, which is encoded once.
     """
-    forward = part.forward
-    assert forward is not None
-    lines = [f"{forward.method} {forward.target} HTTP/1.1"]
-    lines += [f"{name}: {value}" for name, value in forward.headers]
-    lines += [
-        f"{headers.REQUEST_DEADLINE}: {max(1, int(timeout_s * MS_PER_S))}",
-        f"{headers.EXPECT_INSTANCE}: {upstream.id}",
-    ]
-    if forward.body or forward.method not in ("GET", "HEAD"):
-        lines.append(f"Content-Length: {len(forward.body)}")
-    head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode("latin-1") + forward.body
+
+    def __init__(self) -> None:
+        self._forward: Forward | None = None
+        self._head = ""
+        self._rest = b""
+
+    def encode(self, part: Part, upstream: Upstream, timeout_s: float) -> bytes:
+        """Encode one copy of a part.
+
+        Args:
+            part: Part to send; it holds the caller's request.
+            upstream: Upstream to send it to; any other instance at the same
+                address refuses it.
+            timeout_s: Time left for the part, in seconds.
+
+        Returns:
+            The whole HTTP request.
+        """
+        assert part.forward is not None
+        if part.forward is not self._forward:
+            self._encode_shared(part.forward)
+        timeout_ms = max(1, int(timeout_s * MS_PER_S))
+        head = (
+            f"{self._head}{timeout_ms}\r\n"
+            f"{headers.EXPECT_INSTANCE}: {upstream.id}\r\n"
+        )
+        return head.encode("latin-1") + self._rest
+
+    def _encode_shared(self, forward: Forward) -> None:
+        lines = [f"{forward.method} {forward.target} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in forward.headers]
+        lines.append(f"{headers.REQUEST_DEADLINE}: ")
+        self._head = "\r\n".join(lines)
+        length = ""
+        if forward.body or forward.method not in ("GET", "HEAD"):
+            length = f"Content-Length: {len(forward.body)}\r\n"
+        self._rest = f"{length}\r\n".encode("latin-1") + forward.body
+        self._forward = forward
 
 
 def decode_response(part: Part, response: Response) -> UpstreamReply:
@@ -115,16 +147,19 @@
             snapshot, (_to_upstream_response(response, body),), stamp
         )
     records_end = len(body) - len(body) % RECORD_BYTES
-    records = tuple(
+    records = [
         body[start : start + RECORD_BYTES]
         for start in range(0, records_end, RECORD_BYTES)
-    )
-    return RowsReply(snapshot, records, stamp)
+    ]
+    return RowsReply(snapshot, tuple(records), stamp)
 
 
 def _to_upstream_response(response: Response, body: bytes) -> UpstreamResponse:
     """Return a response with only its end-to-end headers."""
-    end_to_end_headers = headers.select_end_to_end(response.headers)
+    end_to_end_headers = headers.select_end_to_end(
+        (name.decode("latin-1"), value.decode("latin-1"))
+        for name, value in response.headers
+    )
     return UpstreamResponse(response.status, end_to_end_headers, body)
 
 
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -73,7 +73,7 @@
 )
 from berylspool.version.pool.message import Blame, ObservedReply
 from berylspool.version.pool.quarantine import Verdict
-from berylspool.version.pool.task import Transport
+from berylspool.version.pool.transport import Transport
 
 __all__ = ["Forwarder"]
 
--- a/berylspool/process/entry/ownership.py
+++ b/berylspool/process/entry/ownership.py
@@ -5,7 +5,6 @@
 
 from berylspool.connection.message import MemberTable
 from berylspool.process.entry.routing_message import (
-    PoolKey,
     ReportTableDrained,
     RoutingAction,
     SendToPool,
@@ -25,6 +24,7 @@
     Blame,
     CloseRequested,
     LeaseUpdated,
+    PoolKey,
     PoolReconfigured,
 )
 
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -31,7 +31,6 @@
     LinkUp,
     LoanReceived,
     PoolDrained,
-    PoolKey,
     ReportTableDrained,
     ResultReceived,
     RoutingAction,
@@ -58,16 +57,22 @@
     PartResult,
     PartRows,
 )
-from berylspool.version.pool.message import Blame, ObservedReply
+from berylspool.version.pool.message import (
+    Blame,
+    ObservedReply,
+    PoolKey,
+    PoolMessage,
+)
+from berylspool.version.pool.pool_set import PoolListener, PoolSet
 from berylspool.version.pool.state import PoolTuning
-from berylspool.version.pool.task import PoolTask, Transport
+from berylspool.version.pool.transport import Transport
 
 __all__ = ["Router"]
 
 HELD_PARTS_RETRY_INTERVAL_S = 0.02
 
 
-RouterMessage = RoutingEvent | Subscribe | Unsubscribe
+RouterMessage = RoutingEvent | PoolMessage | Subscribe | Unsubscribe
 
 
 class Router:
@@ -90,7 +95,6 @@
         inbox: Receives routing events, and the subscriptions of requests.
         routing: Routing state.
         member_table: Active member table.
-        pool_by_key: Pools that run in this process.
         peer_server: Accepts the links of peers, which request parts.
     """
 
@@ -109,43 +113,52 @@
         self.inbox: Mailbox[RouterMessage] = Mailbox()
         self.routing = routing
         self.member_table = PublishedValue(routing.active_table)
-        self.pool_by_key: dict[PoolKey, PoolTask] = {}
         self.peer_server = LinkServer(
             make_peer_codec(),
             sink=self._handle_peer_request,
             on_session_end=self._handle_session_end,
         )
-        self._tuning = tuning
         self._log = log
         self._clock = clock
         self._on_table_drained = on_table_drained
-        self._on_reply = on_reply
-        self._on_borrow = on_borrow
-        self._transport = transport or NativeTransport()
+        self._pools = PoolSet(
+            tuning,
+            inbox=self.inbox,
+            listener=PoolListener(
+                on_result=lambda result: self._handle(ResultReceived(result)),
+                on_verdict=lambda blame: self.inbox.put(BlameRaised(blame)),
+                on_borrow=on_borrow,
+                on_drained=lambda key: self.inbox.put(PoolDrained(key)),
+                on_observed=on_reply,
+                log=log,
+            ),
+            clock=clock,
+            transport=transport or NativeTransport(),
+        )
         self._link_by_member: dict[str, Link] = {}
         self._link_task_by_member: dict[str, asyncio.Task[None]] = {}
         self._inbox_by_request: dict[str, Mailbox[Any]] = {}
-        self._pool_tasks: set[asyncio.Task[None]] = set()
 
     async def run(self) -> None:
         """Serve the inbox until the task is cancelled."""
         try:
             while True:
-                timeout_s = (
-                    HELD_PARTS_RETRY_INTERVAL_S
-                    if self.routing.held_part_ids
-                    else None
-                )
-                messages = await self.inbox.take(timeout_s) or [
-                    HeldPartsRetryDue()
-                ]
+                wait_s = self._pools.run_due_pools()
+                has_held_parts = bool(self.routing.held_part_ids)
+                if has_held_parts:
+                    wait_s = (
+                        HELD_PARTS_RETRY_INTERVAL_S
+                        if wait_s is None
+                        else min(wait_s, HELD_PARTS_RETRY_INTERVAL_S)
+                    )
+                messages = await self.inbox.take(wait_s)
                 for message in messages:
                     self._handle(message)
+                if has_held_parts and not messages:
+                    self._handle(HeldPartsRetryDue())
         finally:
-            for task in (
-                *self._link_task_by_member.values(),
-                *self._pool_tasks,
-            ):
+            self._pools.stop()
+            for task in self._link_task_by_member.values():
                 task.cancel()
 
     def receive_loans(self, lent: tuple[ExtraCopies, ...]) -> None:
@@ -160,6 +173,8 @@
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
                 self._inbox_by_request.pop(request_id, None)
+            case PoolMessage():
+                self._pools.receive(message)
             case _:
                 for action in step(self.routing, message, self._clock()):
                     self._perform(action)
@@ -170,9 +185,7 @@
     def _perform(self, action: RoutingAction) -> None:
         match action:
             case SendToPool(key=key, event=event):
-                pool = self.pool_by_key.get(key)
-                if pool is not None:
-                    pool.inbox.put(event)
+                self._pools.handle(key, event)
             case SendToPeer(member=member, message=message):
                 self._send_to_peer(member, message)
             case SendToAllPeers(message=blame):
@@ -183,7 +196,7 @@
             case StartPool(key=key):
                 self._start_pool(key)
             case StopPool(key=key):
-                self.pool_by_key.pop(key, None)
+                self._pools.remove(key)
             case ReportTableDrained(epoch=epoch):
                 self._on_table_drained(epoch)
 
@@ -207,26 +220,9 @@
             inbox.put(result)
 
     def _start_pool(self, key: PoolKey) -> None:
-        service, version = key
-        pool = PoolTask(
-            service,
-            version,
-            self._tuning,
-            send_result=lambda result: self.inbox.put(ResultReceived(result)),
-            share_verdict=lambda blame: self.inbox.put(BlameRaised(blame)),
-            borrow=lambda copies: self._on_borrow(key, copies),
-            on_drained=lambda: self.inbox.put(PoolDrained(key)),
-            on_observed=self._on_reply,
-            log=self._log,
-            clock=self._clock,
-            transport=self._transport,
-        )
-        self.pool_by_key[key] = pool
-        task = asyncio.ensure_future(pool.run())
-        self._pool_tasks.add(task)
-        task.add_done_callback(self._pool_tasks.discard)
+        self._pools.add(key)
         epoch = self.routing.active_table.epoch
-        self._log(ServicePlaced(service, self.routing.name, epoch))
+        self._log(ServicePlaced(key[0], self.routing.name, epoch))
 
     def _update_links(self, message: TableChanged) -> None:
         """Open and close links so that they match the newest table's members.
--- a/berylspool/process/entry/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -7,7 +7,7 @@
 from berylspool.request.part_message import DiscardPart, Origin, RunPart
 from berylspool.request.query import PartResult
 from berylspool.version.configuration import Configuration
-from berylspool.version.pool.message import Blame, PoolEvent
+from berylspool.version.pool.message import Blame, PoolEvent, PoolKey
 
 __all__ = [
     "BlameRaised",
@@ -19,7 +19,6 @@
     "LinkUp",
     "LoanReceived",
     "PoolDrained",
-    "PoolKey",
     "ReportTableDrained",
     "ResultReceived",
     "RoutingAction",
@@ -36,9 +35,6 @@
     "TableChanged",
 ]
 
-# Service and version that a pool serves.
-PoolKey = tuple[str, str]
-
 
 class Sharing(enum.StrEnum):
     """How upstreams and their limits are divided among entries.
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -5,6 +5,7 @@
 from berylspool.common.event import UpstreamChanged
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.attempt import on_attempt_lost
+from berylspool.version.pool.connection_limits import infer_limits_from_loss
 from berylspool.version.pool.hedging import set_max_tokens
 from berylspool.version.pool.message import (
     CloseConnection,
@@ -48,18 +49,6 @@
 # Covers a 6 ms handshake that waits for a slot, plus a round trip between
 # zones. A connection that takes longer may never open.
 MAX_OPENING_S = 0.05
-# Upstreams accept fewer connections while their queues are long. A queue of a
-# dozen requests drains within a second or two.
-CONNECTIONS_FULL_S = 2.0
-# A reset caused by a request arrives one round trip after it was sent.
-MAX_RESET_DELAY_S = 0.05
-# Connections that were idle for less time are lost for other reasons.
-MIN_IDLE_BEFORE_LOSS_S = 0.05
-IDLE_TIMEOUT_SHARE = 0.7
-# If one answer in thirty is lost for other reasons, two in a row are lost with
-# a probability of about one in a thousand.
-MIN_IDLE_LOSSES = 2
-IDLE_TIMEOUT_TTL_S = 15.0
 # Active callers send again within a few seconds. An entry without requests for
 # longer opens no connection in advance, so its next part waits until one opens.
 UNUSED_AFTER_S = 10.0
@@ -107,7 +96,7 @@
         view.cold_rate.is_unreachable = True
     if connection.holds_slot:
         view.in_flight -= 1
-    _infer_limits_from_loss(pool, view, connection, now)
+    infer_limits_from_loss(pool, view, connection, now)
     actions = on_attempt_lost(pool, connection.attempt_id, view, now)
     if connection.state is not ConnectionState.CLOSING and not event.is_planned:
         if not view.slow_start.is_unconfirmed:
@@ -123,33 +112,6 @@
     return actions
 
 
-def _infer_limits_from_loss(
-    pool: Pool, view: UpstreamView, connection: ConnectionView, now: float
-) -> None:
-    """Infer the upstream's connection limit or idle time-out from a loss.
-
-    A connection that was reset before its first answer exceeded the connection
-    limit. Several in a row that were reset by a request after an idle period
-    exceeded the idle time-out; a single one may be lost for other reasons.
-    """
-    if connection.state in (ConnectionState.OPENING, ConnectionState.CLOSING):
-        return
-    if not connection.has_answered:
-        view.connections_full_until = now + CONNECTIONS_FULL_S
-        return
-    sent_at = view.sent_at_by_attempt.get(connection.attempt_id or 0)
-    if sent_at is None or now - sent_at > MAX_RESET_DELAY_S:
-        return
-    idle_s = sent_at - connection.idle_since
-    if idle_s <= MIN_IDLE_BEFORE_LOSS_S:
-        return
-    pool.idle_losses += 1
-    pool.min_lost_idle_s = min(pool.min_lost_idle_s, idle_s)
-    if pool.idle_losses >= MIN_IDLE_LOSSES:
-        pool.upstream_idle_timeout_s = pool.min_lost_idle_s * IDLE_TIMEOUT_SHARE
-        pool.idle_timeout_valid_until = now + IDLE_TIMEOUT_TTL_S
-
-
 def reconfigure(
     pool: Pool, upstreams: tuple[Upstream, ...], limits: Limits, now: float
 ) -> list[PoolAction]:
@@ -231,7 +193,7 @@
     processor time of the entry, so a wide request opens no more than it needs.
     """
     actions: list[PoolAction] = []
-    if pool.is_closing:
+    if pool.is_closing or (not pool.queue and _is_connected(pool)):
         return actions
     jobs = _waiting_jobs(pool)
     for view in _rank_upstreams(pool, jobs, now):
@@ -254,6 +216,17 @@
     return actions
 
 
+def _is_connected(pool: Pool) -> bool:
+    """Return whether each upstream that is kept connected has a connection."""
+    for view in pool.view_by_upstream.values():
+        if view.connection_by_id:
+            if view.limits.share < 1.0:
+                return True
+        elif view.limits.share >= 1.0:
+            return False
+    return False
+
+
 def _keeps_connected(pool: Pool, view: UpstreamView, now: float) -> bool:
     """Return whether to connect to an upstream that has no connection.
 
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -38,6 +38,8 @@
     "PartCancelled",
     "PoolAction",
     "PoolEvent",
+    "PoolKey",
+    "PoolMessage",
     "PoolReconfigured",
     "ReportedLoad",
     "RowsReply",
@@ -50,6 +52,10 @@
 ]
 
 
+# Service and version that a pool serves.
+PoolKey = tuple[str, str]
+
+
 class TimerKind(enum.IntEnum):
     """Purpose of a pool timer."""
 
@@ -241,6 +247,22 @@
 )
 
 
+@dataclass(frozen=True, slots=True)
+class PoolMessage:
+    """An event of a connection, for one of the pools of a process.
+
+    Attributes:
+        key: Service and version of the pool.
+        incarnation: Incarnation of the pool that opened the connection; a pool
+            that follows under the same key numbers its connections anew.
+        event: The event.
+    """
+
+    key: PoolKey
+    incarnation: int
+    event: PoolEvent
+
+
 @dataclass(frozen=True, slots=True)
 class SendResult:
     """Send the result of a part to the entry that requested it."""
