Messages of each part are not frozen, and idle pools are looked at once

Cause: of the time of a part, a tenth went into the initialization of frozen data classes, which set each field by a call. Each pool was asked for its next wake-up by several passes over its upstreams.

Change: the data classes that each part creates are plain ones (no code changed one after its creation, or hashed it); the time of the next wake-up is found in one pass.

--- a/berylspool/process/entry/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -49,7 +49,7 @@
     ALONE = "alone"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ResultReceived:
     """A pool or a peer has returned the result of a part."""
 
@@ -177,7 +177,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SendToPool:
     """Deliver an event to a pool of this entry.
 
@@ -210,7 +210,7 @@
     message: Blame
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SendToOrigin:
     """Deliver a result to the request or peer that requested the part."""
 
--- a/berylspool/process/held_lines.py
+++ b/berylspool/process/held_lines.py
@@ -24,7 +24,7 @@
 MAX_HELD_LINES = 5_000
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class HeldLine:
     """A log event that is held.
 
--- a/berylspool/request/fanout.py
+++ b/berylspool/request/fanout.py
@@ -88,14 +88,14 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SendPart:
     """Send a part to the owner of its service."""
 
     part: Part
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CancelPart:
     """Notify the owner that the result of a part is no longer needed.
 
--- a/berylspool/request/part_message.py
+++ b/berylspool/request/part_message.py
@@ -22,7 +22,7 @@
     is_session: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RunPart:
     """Run a part and send its result to the origin.
 
@@ -35,7 +35,7 @@
     part: Part
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class DiscardPart:
     """Discard the result of a part, which is no longer needed.
 
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -187,7 +187,7 @@
     soft_deadline: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Part:
     """Part of a request that one shard answers.
 
@@ -219,7 +219,7 @@
     forward: Forward | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PartRows:
     """Complete answer to a part.
 
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -66,7 +66,7 @@
     BORROW_TIMEOUT = 4
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RowsReply:
     """A complete answer from an upstream.
 
@@ -101,7 +101,7 @@
     response: UpstreamResponse | None = None
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ReportedLoad:
     """Requests of all callers at an upstream, and its slots, as it reports."""
 
@@ -118,14 +118,14 @@
 UpstreamReply = RowsReply | NotRunReply | ErrorReply
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PartArrived:
     """An entry requests the result of a part."""
 
     part: Part
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PartCancelled:
     """An entry no longer needs the result of a part.
 
@@ -166,7 +166,7 @@
     is_planned: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class AttemptAnswered:
     """An upstream with a given instance id replied to an attempt."""
 
@@ -247,7 +247,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PoolMessage:
     """An event of a connection, for one of the pools of a process.
 
@@ -263,7 +263,7 @@
     event: PoolEvent
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SendResult:
     """Send the result of a part to the entry that requested it."""
 
@@ -285,7 +285,7 @@
     connection_id: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class SendAttempt:
     """Send one copy of a part on an idle connection."""
 
@@ -295,7 +295,7 @@
     timeout_s: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CancelAttempt:
     """Cancel an attempt whose answer is no longer needed.
 
@@ -331,14 +331,14 @@
     copies: int
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Log:
     """Write a log event."""
 
     event: Event
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ObservedReply:
     """Report a reply for the metrics and the evaluation of its version.
 
--- a/berylspool/version/pool/timing.py
+++ b/berylspool/version/pool/timing.py
@@ -9,6 +9,7 @@
 from berylspool.version.pool.message import TimerKind
 from berylspool.version.pool.state import Pool
 from berylspool.version.upstream.slow_start import next_send_at
+from berylspool.version.upstream.upstream_view import UpstreamView
 
 __all__ = ["max_wait_s"]
 
@@ -21,39 +22,25 @@
 
 def max_wait_s(pool: Pool, now: float) -> float:
     """Return how long the pool's task may wait for events, in seconds."""
-    wake_times = [
-        now + (MAX_IDLE_WAIT_S if _is_idle(pool) else MAX_BUSY_WAIT_S)
-    ]
     _drop_timers_of_ended_parts(pool)
-    if pool.timers:
-        wake_times.append(pool.timers[0][0])
-    wake_times.extend(
-        view.reconnect_at
-        for view in pool.view_by_upstream.values()
-        if view.reconnect_at > now
-    )
-    if pool.queue:
-        wake_times.extend(
-            next_send_at(view.cold_rate, now)
-            for view in pool.view_by_upstream.values()
-            if view.cold_rate.cold_until > now
-            and next_send_at(view.cold_rate, now) > now
-        )
-        wake_times.extend(
-            view.slow_start.backoff_until
-            for view in pool.view_by_upstream.values()
-            if view.slow_start.backoff_until > now
-        )
-    return max(0.0, min(wake_times) - now)
-
-
-def _is_idle(pool: Pool) -> bool:
-    """Return whether only messages and timers can change the pool."""
-    return (
-        not pool.queue
-        and not pool.verdicts.recorded_at_by_fingerprint
-        and all(view.is_serving for view in pool.view_by_upstream.values())
-    )
+    is_idle = not pool.queue and not pool.verdicts.recorded_at_by_fingerprint
+    wake_at = pool.timers[0][0] if pool.timers else float("inf")
+    for view in pool.view_by_upstream.values():
+        is_idle = is_idle and view.is_serving
+        if now < view.reconnect_at < wake_at:
+            wake_at = view.reconnect_at
+        if pool.queue:
+            wake_at = min(wake_at, _accepts_work_at(view, now))
+    max_wait_s = MAX_IDLE_WAIT_S if is_idle else MAX_BUSY_WAIT_S
+    return max(0.0, min(wake_at - now, max_wait_s))
+
+
+def _accepts_work_at(view: UpstreamView, now: float) -> float:
+    """Return when an upstream that gets no work now may get some again."""
+    times = [view.slow_start.backoff_until]
+    if view.cold_rate.cold_until > now:
+        times.append(next_send_at(view.cold_rate, now))
+    return min((time for time in times if time > now), default=float("inf"))
 
 
 def _drop_timers_of_ended_parts(pool: Pool) -> None:
