A stopping entry admits what ends in time, and answers what does not

What callers saw (a further report of the issue): requests that came late in the grace period of a planned stop were passed on, and at its end their connections closed without an answer, among them requests that may not be repeated.

Class: work taken on without a look at the time that is left for it.

Change: after the notice to the balancer, a request is admitted only if it will end in time. At the end, parts that were never sent are refused, so their requests get a true refusal; the others end with what they have, before connections close.

A third test holds that short requests are still served late. The test of refusals sets the new field in place of the flag that is gone. The stand-in of these tests closes its writer also when it is cancelled; left open, its finalizer ran while another test parsed source, and failed that test.

--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -37,7 +37,10 @@
         return ListedUpstream(self.service, upstream, 3)
 
     async def serve(self, reader, writer):
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        with (
+            contextlib.closing(writer),
+            contextlib.suppress(asyncio.IncompleteReadError, ConnectionError),
+        ):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 length = header_value(head, "content-length")
@@ -49,7 +52,6 @@
                 if reply is None:
                     break
                 writer.write(reply)
-        writer.close()
 
 
 def header_value(head, name):
@@ -373,7 +375,7 @@
     upstream = FakeUpstream("a", lambda head, body: signed_response(head, b""))
 
     async def scenario(forwarder, port):
-        forwarder._refuses_requests = True
+        forwarder.running.ends_at = float("-inf")
         return await send_request(port, "/s/1")
 
     status, _, _ = run_scenario(
@@ -412,7 +414,7 @@
         ingress = forwarder.caller_listener
         await forwarder._stop(ingress)
         await asyncio.gather(*callers)
-        return forwarder.in_flight
+        return len(forwarder.running)
 
     single_route = make_route("single", "/s/", service="a")
     assert run_scenario([upstream], [single_route], scenario) == 0
@@ -430,3 +432,88 @@
     ]
     document = make_document(routes, services)
     assert len(document.body) * 20 < len(zlib.decompress(document.body))
+
+
+async def send_late(port, delay_s, path, method, id):
+    await asyncio.sleep(delay_s)
+    extra = (f"X-Request-Id: {id}",)
+    status, _, _ = await send_request(port, path, method, b"x", extra)
+    return id, status
+
+
+def test_stop_answers_requests_that_do_not_end_in_time():
+    async def slow(head, body):
+        await asyncio.sleep(TEST_TIMEOUT_S)
+
+    upstream = FakeUpstream("a", slow)
+
+    async def scenario(forwarder, port):
+        sends = [
+            asyncio.ensure_future(send_late(port, 0.0, "/s/1", "POST", f"r{n}"))
+            for n in range(5)
+        ]
+        await asyncio.sleep(0.05)
+        await forwarder._stop(forwarder.caller_listener)
+        return dict(await asyncio.gather(*sends))
+
+    route = make_route(
+        "single", "/s/", service="a", **{"route-type": "non-idempotent"}
+    )
+    status_by_id = run_scenario([upstream], [route], scenario)
+    sent_ids = {header_value(h, "x-request-id") for h, _ in upstream.requests}
+    assert sent_ids and len(sent_ids) < len(status_by_id)
+    assert all(
+        status == (502 if id in sent_ids else 503)
+        for id, status in status_by_id.items()
+    )
+
+
+def test_late_request_that_may_not_be_repeated_is_refused_during_a_stop():
+    async def slow(head, body):
+        await asyncio.sleep(0.05)
+        return signed_response(head, b"done")
+
+    upstream = FakeUpstream("a", slow)
+
+    async def scenario(forwarder, port):
+        # Opened before the entry stops to listen.
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        stop = asyncio.ensure_future(forwarder._stop(forwarder.caller_listener))
+        await asyncio.sleep(0.2)
+        writer.write(
+            f"POST /once/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+        once = (await reader.readuntil(b"\r\n\r\n")).decode()
+        writer.close()
+        await stop
+        return int(once.split()[1])
+
+    routes = [
+        make_route(
+            "once", "/once/", service="a", **{"route-type": "non-idempotent"}
+        ),
+    ]
+    assert run_scenario([upstream], routes, scenario) == 503
+    assert not upstream.requests
+
+
+def test_late_request_that_ends_in_time_is_served_during_a_stop():
+    upstream = FakeUpstream(
+        "a", lambda head, body: signed_response(head, b"done")
+    )
+
+    async def scenario(forwarder, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        stop = asyncio.ensure_future(forwarder._stop(forwarder.caller_listener))
+        await asyncio.sleep(0.2)
+        writer.write(f"GET /s/1 HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        writer.close()
+        await stop
+        return int(head.split()[1])
+
+    route = make_route(
+        "single", "/s/", service="a", **{"target-latency-ms": 50}
+    )
+    assert run_scenario([upstream], [route], scenario) == 200
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -43,12 +43,14 @@
 from berylspool.process.entry.routing_message import (
     BlameReceived,
     ConfigurationChanged,
+    EntryClosing,
     LeaseGranted,
     Sharing,
 )
 from berylspool.process.lifetime import make_stop_event
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_shared_tuning
+from berylspool.process.running_requests import RunningRequests
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
 from berylspool.request.fanout import PinnedMap
@@ -77,18 +79,14 @@
 
 __all__ = ["Forwarder"]
 
-DRAIN_POLL_INTERVAL_S = 0.02
 # Shorter than any scrape interval.
 MAINTENANCE_INTERVAL_S = 1.0
 # Retry-after; long, as a request that crashes upstreams does so on each retry.
 QUARANTINE_S = 60.0
-# The last accepted connections send requests within one or two round trips.
-DRAIN_IDLE_S = 0.5
-# Most requests end within 1 s; the platform's grace period leaves slightly more
-# than that at its end.
-MAX_FINISH_S = 1.5
 # Enough to write the last answers and to close a few hundred connections.
 CLOSE_TIMEOUT_S = 0.1
+# Time before the end of the grace period at which the last requests must end.
+FINISH_S = 0.2
 # Approximate time to elect a leader of control and distribute its state.
 NO_PLAN_RETRY_S = 0.7
 # While control has a leader, a new process has its plan within this time.
@@ -146,7 +144,7 @@
         self.metrics = Metrics()
         self.caller_listener: CallerListener | None = None
         self.is_closing = False
-        self.in_flight = 0
+        self.running = RunningRequests(clock)
         self.statistics = ReplyStatistics()
         self.state = ForwardingState(
             settings,
@@ -160,7 +158,6 @@
         self._timer_lag = TimerLag()
         self._tasks: list[asyncio.Task[None]] = []
         self._evidence = CrashEvidence()
-        self._refuses_requests = False
         self.router = Router(
             RoutingState(name, Sharing.ALONE),
             make_shared_tuning(settings.routing, self.own_settings.zone, name),
@@ -243,6 +240,10 @@
             return self._record_refusal(
                 Refusal(request.id, Reason.QUARANTINED, True, QUARANTINE_S)
             )
+        if not self.running.may_end_in_time(query, route.target_latency_s):
+            return self._record_refusal(
+                Refusal(request.id, Reason.SHUTTING_DOWN, True, 0.0)
+            )
         target = choose_target(route, hash64(query.id))
         pinned = pin_target(view.plan, target, query.id, view.move_by_service)
         outcome = await self._run_request(query, pinned, caller_gone)
@@ -262,9 +263,6 @@
         self, request: ForwardRequest, caller_gone: asyncio.Event
     ) -> Refusal | None:
         """Return a refusal if the request cannot be served now, else None."""
-        if self._refuses_requests:
-            # The process is about to exit; no request may reach an upstream.
-            return Refusal(request.id, Reason.SHUTTING_DOWN, True, 0.0)
         if not self.state.initialized.is_set():
             return Refusal(request.id, Reason.NO_CONTROL, True, NO_PLAN_RETRY_S)
         if caller_gone.is_set():
@@ -282,11 +280,10 @@
     ) -> Outcome:
         task = RequestTask(query, self.router.inbox, self._clock)
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
-        self.in_flight += 1
         try:
-            return await task.run(pinned)
+            with self.running.track(task):
+                return await task.run(pinned)
         finally:
-            self.in_flight -= 1
             watcher.cancel()
             if task.soft_deadline_lag_s is not None:
                 record_lag(self._timer_lag, task.soft_deadline_lag_s)
@@ -324,7 +321,7 @@
         value_by_gauge = {
             "berylspool_plan": state.view.value.plan.number,
             "berylspool_configuration_revision": state.configuration.revision,
-            "berylspool_in_flight": self.in_flight,
+            "berylspool_in_flight": len(self.running),
             "berylspool_members": state.entry_count,
             "berylspool_listed_upstreams": len(state.listing.listed_by_id),
             "berylspool_listing_age_seconds": self._clock() - state.listed_at,
@@ -358,30 +355,19 @@
         await stopping.wait()
         await self._stop(self.caller_listener)
 
-    async def _wait_until_idle(self) -> None:
-        """Wait until nothing has been in flight for `DRAIN_IDLE_S`."""
-        last_busy_at = self._clock()
-        while self._clock() - last_busy_at < DRAIN_IDLE_S:
-            if self.in_flight:
-                last_busy_at = self._clock()
-            await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
-
     async def _stop(self, callers: CallerListener) -> None:
         """Finish the requests in flight, then close."""
         self.is_closing = True
         self.control.inbox.put(Leave())
-        await asyncio.sleep(self.own_settings.notice_s)
+        own_settings = self.own_settings
+        ends_at = self._clock() + own_settings.notice_s + own_settings.drain_s
+        await asyncio.sleep(own_settings.notice_s)
         callers.stop_listening()
-        finish_s = min(MAX_FINISH_S, self.own_settings.drain_s / 2)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.own_settings.drain_s - finish_s):
-                await self._wait_until_idle()
-        # Refuse requests on busy connections, so that accepted ones can finish.
-        self._refuses_requests = True
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(finish_s):
-                while self.in_flight:
-                    await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        self.running.ends_at = ends_at - FINISH_S
+        await self.running.wait_until_idle()
+        await self.running.end_all(
+            lambda: self.router.inbox.put(EntryClosing())
+        )
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await callers.close()
--- a/berylspool/process/entry/ownership.py
+++ b/berylspool/process/entry/ownership.py
@@ -78,6 +78,8 @@
             refused from then on.
         is_shutting_down: Whether new parts from peers are refused because the
             process shuts down.
+        is_closing: Whether all new parts are refused because the process is
+            about to exit.
         pending_by_part: Parts whose result is pending, by part id.
         held_part_ids: Ids of the parts that wait for an owner.
         pool_keys: Pools that run in this process.
@@ -98,6 +100,7 @@
     proposed_owners: dict[str, str] = field(default_factory=dict)
     lease_until: float = 0.0
     is_shutting_down: bool = False
+    is_closing: bool = False
     pending_by_part: dict[str, PendingPart] = field(default_factory=dict)
     held_part_ids: list[str] = field(default_factory=list)
     pool_keys: set[PoolKey] = field(default_factory=set)
--- a/berylspool/process/entry/routing.py
+++ b/berylspool/process/entry/routing.py
@@ -23,6 +23,7 @@
     BlameRaised,
     BlameReceived,
     ConfigurationChanged,
+    EntryClosing,
     HeldPartsRetryDue,
     LeaseGranted,
     LinkDown,
@@ -52,6 +53,7 @@
 from berylspool.version.configuration import Configuration
 from berylspool.version.pool.message import (
     Blame,
+    CloseRequested,
     CopiesLent,
     FingerprintBlamed,
     LeaseUpdated,
@@ -119,6 +121,13 @@
         case ShuttingDown():
             routing.is_shutting_down = True
             return []
+        case EntryClosing():
+            routing.is_closing = True
+            closes: list[RoutingAction] = [
+                SendToPool(key, CloseRequested())
+                for key in sorted(routing.pool_keys)
+            ]
+            return [*closes, *_refuse_held_parts(routing)]
         case HeldPartsRetryDue():
             return _retry_held_parts(routing, now)
 
@@ -146,6 +155,8 @@
 ) -> Reason | None:
     if now >= routing.lease_until:
         return Reason.LEASE_EXPIRED
+    if routing.is_closing:
+        return Reason.SHUTTING_DOWN
     if origin.is_session and find_owner(routing, part.service) != routing.name:
         return Reason.NO_OWNER
     if origin.is_session and routing.is_shutting_down:
@@ -209,7 +220,9 @@
         return []
     match result:
         case PartRefused(reason=Reason.NO_OWNER | Reason.SHUTTING_DOWN) if (
-            not pending.origin.is_session and now < pending.deadline
+            not pending.origin.is_session
+            and not routing.is_closing
+            and now < pending.deadline
         ):
             # The part has not run: the owner has just changed, so the part is
             # held until the newer table arrives.
@@ -238,6 +251,17 @@
     return actions
 
 
+def _refuse_held_parts(routing: RoutingState) -> list[RoutingAction]:
+    held, routing.held_part_ids = routing.held_part_ids, []
+    actions: list[RoutingAction] = []
+    for part_id in held:
+        pending = routing.pending_by_part.pop(part_id, None)
+        if pending is not None:
+            refusal = PartRefused(part_id, Reason.SHUTTING_DOWN, 0.0)
+            actions.append(SendToOrigin(pending.origin, refusal))
+    return actions
+
+
 def _handle_link_down(
     routing: RoutingState, member: str, now: float
 ) -> list[RoutingAction]:
--- a/berylspool/process/entry/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -13,6 +13,7 @@
     "BlameRaised",
     "BlameReceived",
     "ConfigurationChanged",
+    "EntryClosing",
     "HeldPartsRetryDue",
     "LeaseGranted",
     "LinkDown",
@@ -153,6 +154,11 @@
     """The process shuts down and accepts no new parts from peers."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryClosing:
+    """The process is about to exit: parts that were never sent are refused."""
+
+
 @dataclass(frozen=True, slots=True)
 class HeldPartsRetryDue:
     """No message arrived within the retry interval of held parts."""
@@ -173,6 +179,7 @@
     | BlameRaised
     | BlameReceived
     | ShuttingDown
+    | EntryClosing
     | HeldPartsRetryDue
 )
 
--- a/berylspool/request/fanout.py
+++ b/berylspool/request/fanout.py
@@ -36,6 +36,7 @@
     "CallerDisconnected",
     "CancelPart",
     "DeadlinePassed",
+    "EntryStopping",
     "FanOut",
     "FanOutAction",
     "FanOutEvent",
@@ -83,8 +84,17 @@
     """The caller has closed its connection."""
 
 
+@dataclass(frozen=True, slots=True)
+class EntryStopping:
+    """The entry is about to exit, so the request ends with what it has."""
+
+
 FanOutEvent = (
-    PartResult | DeadlinePassed | SoftDeadlinePassed | CallerDisconnected
+    PartResult
+    | DeadlinePassed
+    | SoftDeadlinePassed
+    | CallerDisconnected
+    | EntryStopping
 )
 
 
@@ -203,6 +213,8 @@
             if not _has_min_coverage(state) or not state.answer_by_shard:
                 return []
             return _cancel_pending(state, Reason.TIMEOUT)
+        case EntryStopping():
+            return _cancel_pending(state, Reason.SHUTTING_DOWN)
         case CallerDisconnected():
             return _cancel_pending(state, Reason.CANCELLED, is_caller_gone=True)
         case PartRows() | PartRefused() | PartFailed():
--- a/berylspool/request/request_task.py
+++ b/berylspool/request/request_task.py
@@ -8,6 +8,7 @@
     CallerDisconnected,
     CancelPart,
     DeadlinePassed,
+    EntryStopping,
     FanOut,
     FanOutAction,
     Finish,
@@ -57,6 +58,10 @@
         """Notify the task that the caller has closed its connection."""
         self.inbox.put(CallerDisconnected())
 
+    def notify_stop(self) -> None:
+        """Notify the task that the entry is about to exit."""
+        self.inbox.put(EntryStopping())
+
     async def run(self, pinned: PinnedMap) -> Outcome:
         """Run the fan-out and return its outcome.
 
