One odd entry of the list of upstreams hides no other, and ends no task

Here: an entry nested 5,000 deep, with 1e400 or 400 digits, with bytes that are no UTF-8 or a lone surrogate made the whole page an error, so that no change of the list was seen as long as it stood. Ports out of range, an empty id, an id with line ends, a host that cannot be connected to and absurd slots were accepted, and a second entry with the id of another upstream replaced it. An address that cannot be connected to ended its connection's task by an exception that nobody read. An error in the reader that is none of ours ended the reading of the list for good.

Cause: a page was decoded whole, and entries were checked for types, not for what can be used. Class: one value of another writer decides over its neighbours.

Change: a page that does not decode is split first and each entry decoded alone. Ids are visible ASCII, addresses are an IP address and a port from 1 to 65535, slots and the lengths of names are bounded. Of two entries with one id, the first service and address stay. Any error of one reading is logged, and the list is read again.

Looked for elsewhere: published plans with such values are refused as a whole, as they must be (tried: nesting, 1e400, 400 digits, 10**30, surrogates, bytes that are no UTF-8).

--- a/berylspool/platform/discovery.py
+++ b/berylspool/platform/discovery.py
@@ -1,13 +1,16 @@
 """Client of the platform's list of upstreams."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Any, Literal
+import ipaddress
+from collections.abc import Callable, Iterable
+from typing import Annotated, Any, Literal
+from urllib.parse import quote
 
 import orjson
-from pydantic import ConfigDict, ValidationError
+from pydantic import ConfigDict, Field, ValidationError
 
 from berylspool.common.event import Event, ListEntrySkipped
+from berylspool.common.json_scan import split_array, split_object
 from berylspool.connection.http import HttpConnection, open_http_connection
 from berylspool.exception import ConnectionLostError, ProtocolError
 from berylspool.platform.model import PlatformModel
@@ -15,11 +18,19 @@
 from berylspool.version.configuration import Upstream, UpstreamState
 from berylspool.version.listing import ListedUpstream
 
-__all__ = ["ListClient", "decode_page"]
+__all__ = ["ListClient", "decode_page", "list_by_id"]
 
 READ_TIMEOUT_S = 1.0
 LIST_PATH = "/instances"
 STATUS_OK = 200
+MAX_NAME_LENGTH = 256
+# Far more than an upstream runs; a larger number is an error of its writer, and
+# would lift the limit of its whole service.
+MAX_SLOTS = 100_000
+MAX_PORT = 65_535
+MAX_LOGGED_ENTRIES = 1_000
+
+Name = Annotated[str, Field(max_length=MAX_NAME_LENGTH)]
 
 
 class InstanceModel(PlatformModel):
@@ -40,12 +51,13 @@
 
     model_config = ConfigDict(strict=True)
 
-    id: str
-    service: str
-    address: str
-    zone: str
-    version: str = ""
-    slots: int = 1
+    # It is sent as the value of a header.
+    id: Annotated[str, Field(pattern=rf"^[!-~]{{1,{MAX_NAME_LENGTH}}}$")]
+    service: Annotated[Name, Field(min_length=1)]
+    address: Name
+    zone: Name
+    version: Name = ""
+    slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)] = 1
     state: Literal["ready", "draining"]
     warmup_left_ms: float = 0
 
@@ -87,22 +99,29 @@
             raise
 
     async def _read_pages(self) -> dict[str, ListedUpstream]:
-        listed_by_id: dict[str, ListedUpstream] = {}
+        all_listed: list[ListedUpstream] = []
         page_token: str | None = ""
         while page_token is not None:
             body = await self._fetch_page(page_token)
             listed_upstreams, skipped_descriptions, page_token = decode_page(
                 body
             )
-            listed_by_id.update(
-                (listed.upstream.id, listed) for listed in listed_upstreams
-            )
-            for description in skipped_descriptions:
-                if description not in self._logged_descriptions:
-                    self._logged_descriptions.add(description)
-                    self._log(ListEntrySkipped(description))
+            all_listed += listed_upstreams
+            self._log_skipped(skipped_descriptions)
+        listed_by_id, skipped_descriptions = list_by_id(all_listed)
+        self._log_skipped(skipped_descriptions)
         return listed_by_id
 
+    def _log_skipped(self, descriptions: list[str]) -> None:
+        """Log each skipped entry once, up to a limit of entries."""
+        for description in descriptions:
+            if (
+                description not in self._logged_descriptions
+                and len(self._logged_descriptions) < MAX_LOGGED_ENTRIES
+            ):
+                self._logged_descriptions.add(description)
+                self._log(ListEntrySkipped(description))
+
     async def _fetch_page(self, page_token: str) -> bytes:
         if self._connection is None:
             host, port = split_address(self._address)
@@ -110,7 +129,9 @@
                 host, port, READ_TIMEOUT_S
             )
         path = (
-            f"{LIST_PATH}?page-token={page_token}" if page_token else LIST_PATH
+            f"{LIST_PATH}?page-token={quote(page_token, safe='')}"
+            if page_token
+            else LIST_PATH
         )
         headers = {"Host": self._address}
         response = await self._connection.send("GET", path, headers, b"")
@@ -141,14 +162,7 @@
     Raises:
         ProtocolError: The page is not JSON, or has no list of entries.
     """
-    try:
-        page: Any = orjson.loads(body)
-        entries = list(page["instances"])
-        next_page_token = page.get("next-page-token")
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise ProtocolError(
-            "list of upstreams: page cannot be decoded"
-        ) from error
+    entries, next_page_token = _read_page(body)
     listed_upstreams: list[ListedUpstream] = []
     skipped_descriptions: list[str] = []
     for entry in entries:
@@ -162,11 +176,79 @@
             skipped_descriptions.append(
                 f"{instance_id}: {type(error).__name__}"
             )
-    return listed_upstreams, skipped_descriptions, next_page_token or None
+    return listed_upstreams, skipped_descriptions, next_page_token
+
+
+def _read_page(body: bytes) -> tuple[list[Any], str | None]:
+    """Return the entries of a page and the token of the next one.
+
+    An entry that is no JSON value, or one that the decoder cannot represent, is
+    None, which no model accepts.
+    """
+    try:
+        try:
+            page: Any = orjson.loads(body)
+            entries = list(page["instances"])
+            next_page_token = page.get("next-page-token")
+        except orjson.JSONDecodeError:
+            member_by_name = split_object(body)
+            entries = [
+                _decode_entry(text)
+                for text in split_array(member_by_name[b'"instances"'])
+            ]
+            next_page_token = orjson.loads(
+                member_by_name.get(b'"next-page-token"', b"null")
+            )
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        raise ProtocolError(
+            "list of upstreams: page cannot be decoded"
+        ) from error
+    if next_page_token is not None and not isinstance(next_page_token, str):
+        raise ProtocolError("list of upstreams: token of next page is no text")
+    return entries, next_page_token or None
+
+
+def _decode_entry(text: bytes) -> Any:
+    try:
+        return orjson.loads(text)
+    except orjson.JSONDecodeError:
+        # The caller logs the entry as skipped.
+        return None
+
+
+def list_by_id(
+    listed_upstreams: Iterable[ListedUpstream],
+) -> tuple[dict[str, ListedUpstream], list[str]]:
+    """Index upstreams by id; skip those that use the id of another one.
+
+    A list that changes while its pages are read may hold an upstream twice, and
+    the later entry is newer. One of another service or address is not the same
+    upstream, and the first one stays.
+
+    Args:
+        listed_upstreams: Upstreams in the order of the list.
+
+    Returns:
+        The upstreams by id, and a description of each that was skipped.
+    """
+    listed_by_id: dict[str, ListedUpstream] = {}
+    skipped_descriptions: list[str] = []
+    for listed in listed_upstreams:
+        first = listed_by_id.setdefault(listed.upstream.id, listed)
+        if _identity(first) == _identity(listed):
+            listed_by_id[listed.upstream.id] = listed
+        else:
+            description = f"{listed.upstream.id}: id of another upstream"
+            skipped_descriptions.append(description)
+    return listed_by_id, skipped_descriptions
+
+
+def _identity(listed: ListedUpstream) -> tuple[str, str, int]:
+    return listed.service, listed.upstream.host, listed.upstream.port
 
 
 def _to_listed_upstream(model: InstanceModel) -> ListedUpstream:
-    host, port = split_address(model.address)
+    host, port = _split_upstream_address(model.address)
     state_by_word = {
         "ready": UpstreamState.SERVING,
         "draining": UpstreamState.LEAVING,
@@ -181,3 +263,20 @@
         is_cold=model.warmup_left_ms > 0,
     )
     return ListedUpstream(model.service, upstream, max(1, model.slots))
+
+
+def _split_upstream_address(address: str) -> tuple[str, int]:
+    """Split the address of an upstream, which is an IP address and a port.
+
+    Raises:
+        ValueError: It is not one that can be connected to.
+    """
+    host, _, port_text = address.rpartition(":")
+    ip = ipaddress.ip_address(host)
+    is_port = port_text.isascii() and port_text.isdigit()
+    if ip.is_unspecified or ip.is_multicast or not is_port:
+        raise ValueError(f"not an address of an upstream: {address!r}")
+    port = int(port_text)
+    if not 1 <= port <= MAX_PORT:
+        raise ValueError(f"port out of range: {address!r}")
+    return host, port
--- a/berylspool/platform/tests/test_discovery.py
+++ b/berylspool/platform/tests/test_discovery.py
@@ -1,10 +1,14 @@
 """Decoding of the list of upstreams, with invalid entries and pages."""
 
+import contextlib
+
 import orjson
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from berylspool.exception import ProtocolError
-from berylspool.platform.discovery import decode_page
+from berylspool.platform.discovery import decode_page, list_by_id
 from berylspool.version.configuration import UpstreamState
 
 VALID_ENTRY = {
@@ -44,6 +48,21 @@
         {**VALID_ENTRY, "state": "sleeping"},
         {**VALID_ENTRY, "address": "nowhere"},
         {**VALID_ENTRY, "id": 7},
+        {**VALID_ENTRY, "id": ""},
+        {**VALID_ENTRY, "id": "i-3\r\nX-A: b"},
+        {**VALID_ENTRY, "id": "i" * 300},
+        {**VALID_ENTRY, "service": ""},
+        {**VALID_ENTRY, "slots": 2**63 - 1},
+        {**VALID_ENTRY, "slots": -1},
+        {**VALID_ENTRY, "address": "10.0.0.9:99999"},
+        {**VALID_ENTRY, "address": "10.0.0.9:-1"},
+        {**VALID_ENTRY, "address": "10.0.0.9:0"},
+        {**VALID_ENTRY, "address": "10.0.0.9:1" + "0" * 30},
+        {**VALID_ENTRY, "address": "10.0.0.9:\u0661\u0662"},
+        {**VALID_ENTRY, "address": "10.0.0.9: 80"},
+        {**VALID_ENTRY, "address": "a" * 300 + ":80"},
+        {**VALID_ENTRY, "address": "10.0.0\x00.9:80"},
+        {**VALID_ENTRY, "address": "0.0.0.0:80"},
         {"id": "i-3"},
         17,
         None,
@@ -61,3 +80,50 @@
 def test_invalid_page_raises_error(body):
     with pytest.raises(ProtocolError):
         decode_page(body)
+
+
+@pytest.mark.parametrize(
+    "raw_entry",
+    [
+        b'{"id":' * 5_000 + b"1" + b"}" * 5_000,
+        b"[" * 5_000 + b"]" * 5_000,
+        b'{"id": "i-2", "slots": 1e400}',
+        b'{"id": "i-2", "slots": ' + b"9" * 400 + b"}",
+        b'{"id": "i-2", "zone": "\xff\xfe"}',
+        b'{"id": "i-2", "zone": "\\ud800"}',
+        b'{"id": "i-2", "zone": "a\\"}], \\\\"}',
+        b'{"id": "i-2", "zone"}',
+        b"no value",
+    ],
+)
+def test_entry_that_cannot_be_read_does_not_hide_the_others(raw_entry):
+    valid = orjson.dumps(VALID_ENTRY)
+    body = b'{"a": {"b": [1]}, "instances": [%b, %b], "next-page-token": %b}'
+    page = body % (raw_entry, valid, b'"p-50"')
+    listed_upstreams, skipped_descriptions, token = decode_page(page)
+    assert [listed.upstream.id for listed in listed_upstreams] == ["i-1"]
+    assert len(skipped_descriptions) == 1 and token == "p-50"
+
+
+def test_second_entry_with_the_id_of_another_upstream_is_skipped():
+    other = {**VALID_ENTRY, "address": "10.0.0.8:8080"}
+    newer = {**VALID_ENTRY, "state": "draining"}
+    listed_upstreams, _, _ = decode_page(encode_page(VALID_ENTRY, other, newer))
+    listed_by_id, skipped_descriptions = list_by_id(listed_upstreams)
+    assert listed_by_id["i-1"].upstream.host == "10.0.0.9"
+    assert listed_by_id["i-1"].upstream.state is UpstreamState.LEAVING
+    assert len(skipped_descriptions) == 1
+
+
+@pytest.mark.parametrize("token", [7, ["p"], {"a": 1}])
+def test_token_of_another_type_raises_error(token):
+    with pytest.raises(ProtocolError):
+        decode_page(encode_page(VALID_ENTRY, token=token))
+
+
+@settings(max_examples=200)
+@given(st.binary(max_size=200))
+def test_any_bytes_in_place_of_an_entry_raise_no_other_error(raw_entry):
+    page = b'{"instances": [%b, %b]}' % (raw_entry, orjson.dumps(VALID_ENTRY))
+    with contextlib.suppress(ProtocolError):
+        decode_page(page)
--- a/berylspool/platform/tests/test_upstream.py
+++ b/berylspool/platform/tests/test_upstream.py
@@ -350,3 +350,20 @@
     replies = run_scenario(upstream, scenario)
     assert all(isinstance(reply, RowsReply) for reply in replies)
     assert [reply.rows[0].body for reply in replies] == [b"a", b"b"]
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [("127.0.0.1", 99_999), ("127.0.0.1", -1), ("a\0b", 80), ("a" * 300, 80)],
+)
+def test_address_that_cannot_be_connected_to_closes_the_connection(host, port):
+    async def run():
+        pool = Mailbox()
+        upstream = Upstream("i-1", host, port, "z", "")
+        connection = PlatformTransport(time.monotonic).create_connection(
+            1, upstream, pool
+        )
+        await connection.run()
+        return await pool.take()
+
+    assert asyncio.run(run()) == [ConnectionClosed(1, "i-1")]
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -173,7 +173,8 @@
             self.inbox.set_put_callback(self._handle_messages)
             self._handle_messages()
             await self._has_stopped.wait()
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The upstream cannot be reached, or its address is invalid.
             # `ConnectionClosed` below notifies the pool, which reconnects.
             pass
         finally:
--- a/berylspool/process/control/platform_integration.py
+++ b/berylspool/process/control/platform_integration.py
@@ -23,6 +23,7 @@
 # more often than once a second gains little and costs a call for each page.
 LIST_POLL_INTERVAL_S = 1.0
 LEADERSHIP_CHECK_INTERVAL_S = 0.05
+MAX_ERROR_LENGTH = 200
 
 
 class OperatorServer(Protocol):
@@ -101,4 +102,7 @@
             inbox.put(ListingFetched(await reader.read()))
         except BerylspoolError as error:
             log(ListingFailed(str(error)))
+        except Exception as error:  # noqa: BLE001
+            # Whatever a list holds, the next one has to be read.
+            log(ListingFailed(repr(error)[:MAX_ERROR_LENGTH]))
         await asyncio.sleep(LIST_POLL_INTERVAL_S)
