Upstreams that leave, or ask for a pause, say so in their answers

An entry that was out of touch went on with what the list had said, and one that was asked to pause retried after 100 ms.

Change: both are decoded at the border, once for the platform's protocol and once for our own, into UpstreamNotice. A notice holds at the entry at once: no first copy, hedge, retry or connection. What is known is kept for all pools of an entry, apart from the views that a listing makes and drops, until another incarnation answers or the list has been without the upstream; a pause ends by its time, the latest of several, spread by up to a fifth. After it one request goes first. If no upstream is left, parts are refused at once, with the pause as the time to return, spread by request. A pause that is no number of seconds up to an hour has no effect and one log line. New: event UpstreamNoticed, a counter, the reason paused, the stated start of an upstream.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -29,6 +29,7 @@
     "SilentReplaced",
     "StorageFailed",
     "UpstreamChanged",
+    "UpstreamNoticed",
 ]
 
 
@@ -160,6 +161,22 @@
     change: str
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamNoticed(Event):
+    """An upstream said in an answer that it leaves, or wants a pause.
+
+    Attributes:
+        upstream: Id of the upstream.
+        notice: `leaving`, `pause`, or `unusable` for a pause that is no time.
+        value: Length of the pause in seconds, or the unusable text.
+    """
+
+    number: ClassVar[int] = 2011
+    upstream: str
+    notice: str
+    value: str
+
+
 @dataclass(frozen=True, slots=True)
 class CommandDecided(Event):
     """The ledger decided whether a non-idempotent request may run.
--- a/berylspool/connection/upstream.py
+++ b/berylspool/connection/upstream.py
@@ -130,6 +130,9 @@
                 message.attempt_id,
                 _instance_id(response),
                 reply,
+                notice=upstream_codec.decode_notice(
+                    response.status, response.headers
+                ),
             )
         )
 
--- a/berylspool/connection/upstream_codec.py
+++ b/berylspool/connection/upstream_codec.py
@@ -10,10 +10,13 @@
     ErrorReply,
     NotRunReply,
     RowsReply,
+    UpstreamNotice,
     UpstreamReply,
 )
+from berylspool.version.upstream.notices import parse_pause
 
 __all__ = [
+    "decode_notice",
     "decode_reply",
     "encode_part",
 ]
@@ -34,6 +37,10 @@
 NOT_RUN = "Not-Run"
 REASON = "Reason"
 ROW_COUNT = "Row-Count"
+LEAVING = "Leaving"
+PAUSE = "Pause-S"
+
+STATUS_UNAVAILABLE = 503
 
 REASON_BY_HEADER = {
     "shed": Reason.OVERLOAD,
@@ -114,6 +121,19 @@
     return ErrorReply(Reason.UPSTREAM_ERROR)
 
 
+def decode_notice(
+    status: int, headers: Mapping[str, str]
+) -> UpstreamNotice | None:
+    """Decode what the upstream says of itself; None if it says nothing."""
+    is_leaving = headers.get(LEAVING) == "true"
+    text = headers.get(PAUSE, "") if status == STATUS_UNAVAILABLE else ""
+    if not (is_leaving or text):
+        return None
+    pause_s = parse_pause(text)
+    unusable_text = "" if pause_s is not None else text
+    return UpstreamNotice(is_leaving, pause_s, unusable_text)
+
+
 def _decode_rows(headers: Mapping[str, str], body: bytes) -> UpstreamReply:
     try:
         rows = tuple(orjson.loads(body)["rows"])
--- a/berylspool/platform/discovery.py
+++ b/berylspool/platform/discovery.py
@@ -28,6 +28,7 @@
 # would lift the limit of its whole service.
 MAX_SLOTS = 100_000
 MAX_PORT = 65_535
+MAX_BORN_MS = 1 << 53
 MAX_LOGGED_ENTRIES = 1_000
 
 Name = Annotated[str, Field(max_length=MAX_NAME_LENGTH)]
@@ -47,6 +48,7 @@
             leave.
         warmup_left_ms: Remaining time for which it is slow after its start,
             in milliseconds.
+        born: Start of its process, in Unix milliseconds.
     """
 
     model_config = ConfigDict(strict=True)
@@ -60,6 +62,7 @@
     slots: Annotated[int, Field(ge=0, le=MAX_SLOTS)] = 1
     state: Literal["ready", "draining"]
     warmup_left_ms: float = 0
+    born: Annotated[int, Field(ge=0, le=MAX_BORN_MS)] | None = None
 
 
 class ListClient:
@@ -261,6 +264,7 @@
         model.version,
         state_by_word[model.state],
         is_cold=model.warmup_left_ms > 0,
+        started_at_ms=model.born,
     )
     return ListedUpstream(model.service, upstream, max(1, model.slots))
 
--- a/berylspool/platform/headers.py
+++ b/berylspool/platform/headers.py
@@ -10,6 +10,8 @@
     "REQUEST_DEADLINE",
     "REQUEST_ID",
     "RESPONSE_STAMP",
+    "RETRY_AFTER",
+    "SERVER_LEAVING",
     "SERVER_LOAD",
     "select_end_to_end",
 ]
@@ -26,6 +28,10 @@
 SERVER_LOAD = "X-Server-Load"
 # Set if the upstream refused the request and ran no part of it.
 NOT_EXECUTED = "X-Not-Executed"
+# `1` if the upstream is about to leave and wants no new requests.
+SERVER_LEAVING = "Server-Leaving"
+# Seconds for which an upstream that refuses wants nothing from this VM.
+RETRY_AFTER = "Retry-After"
 # Signatures of all parts of a merged answer.
 PART_STAMPS = "X-Part-Stamps"
 # Number of shards that a merged answer does not cover.
--- a/berylspool/platform/tests/test_discovery.py
+++ b/berylspool/platform/tests/test_discovery.py
@@ -105,6 +105,13 @@
     assert len(skipped_descriptions) == 1 and token == "p-50"
 
 
+def test_entry_may_state_the_start_of_its_process():
+    page = encode_page({**VALID_ENTRY, "born": 7}, {**VALID_ENTRY, "id": "i-2"})
+    listed_upstreams, _, _ = decode_page(page)
+    starts = [listed.upstream.started_at_ms for listed in listed_upstreams]
+    assert starts == [7, None]
+
+
 def test_second_entry_with_the_id_of_another_upstream_is_skipped():
     other = {**VALID_ENTRY, "address": "10.0.0.8:8080"}
     newer = {**VALID_ENTRY, "state": "draining"}
--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -517,3 +517,46 @@
         "single", "/s/", service="a", **{"target-latency-ms": 50}
     )
     assert run_scenario([upstream], [route], scenario) == 200
+
+
+def with_header(response, line):
+    """Return a response with one more header."""
+    return response.replace(b"\r\n", f"\r\n{line}\r\n".encode(), 1)
+
+
+def test_upstream_that_says_that_it_leaves_gets_no_more_requests():
+    leaving = FakeUpstream(
+        "a",
+        lambda head, body: with_header(
+            signed_response(head, b"x"), "Server-Leaving: 1"
+        ),
+    )
+
+    async def scenario(forwarder, port):
+        return [(await send_request(port, "/s/1"))[0] for _ in range(4)]
+
+    route = make_route("r", "/s/", service="a")
+    statuses = run_scenario([leaving], [route], scenario)
+    assert statuses == [200, 503, 503, 503] and len(leaving.requests) == 1
+
+
+def test_upstream_that_wants_a_pause_gets_nothing_until_its_end():
+    def refuse(head, body):
+        lines = "X-Not-Executed: 1\r\nRetry-After: 2"
+        return with_header(
+            signed_response(head, b"", status="503 Service Unavailable"), lines
+        )
+
+    upstream = FakeUpstream("a", refuse)
+
+    async def scenario(forwarder, port):
+        answers = [await send_request(port, "/s/1") for _ in range(4)]
+        return [
+            (status, float(header_value(head, "retry-after")))
+            for status, head, _ in answers
+        ]
+
+    route = make_route("r", "/s/", service="a")
+    answers = run_scenario([upstream], [route], scenario)
+    assert len(upstream.requests) == 1
+    assert all(status == 503 and delay > 1.0 for status, delay in answers)
--- a/berylspool/platform/tests/test_upstream.py
+++ b/berylspool/platform/tests/test_upstream.py
@@ -34,6 +34,7 @@
     RowsReply,
     SendAttempt,
     StopTask,
+    UpstreamNotice,
 )
 
 TEST_TIMEOUT_S = 10.0
@@ -432,3 +433,39 @@
     for cut_response in cut_positions(head):
         upstream = ScriptedUpstream(cut_response, ends=[(0, "eof")])
         assert event_after_sending_to(upstream) == ConnectionClosed(1, "i-1")
+
+
+@pytest.mark.parametrize(
+    ("status", "lines", "notice"),
+    [
+        ("200 OK", "Server-Leaving: 1\r\n", UpstreamNotice(True)),
+        ("200 OK", "Server-Leaving: 0\r\n", None),
+        ("200 OK", "Retry-After: 3\r\n", None),
+        ("500 X", "Server-Leaving: 1\r\n", UpstreamNotice(True)),
+        ("503 X", "Retry-After: 3\r\n", UpstreamNotice(pause_s=3.0)),
+        (
+            "503 X",
+            "Server-Leaving: 1\r\nRetry-After: 0.5\r\n",
+            UpstreamNotice(True, 0.5),
+        ),
+        *(
+            (
+                "503 X",
+                f"Retry-After: {text}\r\n",
+                UpstreamNotice(unusable_pause=text),
+            )
+            for text in (
+                "soon",
+                "-1",
+                "nan",
+                "inf",
+                "1e3",
+                "9" * 400,
+                "Fri, 31 Dec 1999 23:59:59 GMT",
+            )
+        ),
+    ],
+)
+def test_notices_of_an_upstream_are_decoded(status, lines, notice):
+    response = whole_response(extra=lines, status=status)
+    assert event_after_sending_to(ScriptedUpstream(response)).notice == notice
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -15,6 +15,7 @@
     RequestEncoder,
     Response,
     decode_load,
+    decode_notice,
     decode_response,
 )
 from berylspool.version.configuration import Upstream
@@ -268,6 +269,7 @@
                 self._upstream.id,
                 decode_response(pending.part, response),
                 decode_load(response),
+                decode_notice(response),
             )
         )
         if self._has_stale_response or not response.has_length:
--- a/berylspool/platform/upstream_codec.py
+++ b/berylspool/platform/upstream_codec.py
@@ -16,13 +16,22 @@
     NotRunReply,
     ReportedLoad,
     RowsReply,
+    UpstreamNotice,
     UpstreamReply,
 )
+from berylspool.version.upstream.notices import parse_pause
 
-__all__ = ["RequestEncoder", "Response", "decode_load", "decode_response"]
+__all__ = [
+    "RequestEncoder",
+    "Response",
+    "decode_load",
+    "decode_notice",
+    "decode_response",
+]
 
 RECORD_BYTES = 16
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 MS_PER_S = 1000.0
 
@@ -174,3 +183,16 @@
         # The load is only a hint; without it, the pool uses its own counts.
         return None
     return ReportedLoad(running, waiting, slots)
+
+
+def decode_notice(response: Response) -> UpstreamNotice | None:
+    """Decode what the upstream says of itself; None if it says nothing."""
+    is_leaving = response.get(headers.SERVER_LEAVING).strip() == "1"
+    if response.status != STATUS_UNAVAILABLE:
+        return UpstreamNotice(is_leaving=True) if is_leaving else None
+    text = response.get(headers.RETRY_AFTER)
+    if not (is_leaving or text):
+        return None
+    pause_s = parse_pause(text)
+    unusable_text = "" if pause_s is not None else text
+    return UpstreamNotice(is_leaving, pause_s, unusable_text)
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -11,11 +11,13 @@
 from typing import Any, Protocol
 
 from berylspool.common.event import (
+    Event,
     ProcessStarted,
     ProcessStopped,
     RequestBlamed,
+    UpstreamNoticed,
 )
-from berylspool.common.metric import Metrics, set_gauge
+from berylspool.common.metric import Metrics, increment_counter, set_gauge
 from berylspool.connection.control_message import ExtraCopies
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError
@@ -46,6 +48,7 @@
     EntryClosing,
     LeaseGranted,
     Sharing,
+    UpstreamsListed,
 )
 from berylspool.process.lifetime import make_stop_event
 from berylspool.process.log import LogTask
@@ -73,6 +76,7 @@
     new_query,
     pin_target,
 )
+from berylspool.version.listing import Listing
 from berylspool.version.pool.message import Blame, ObservedReply
 from berylspool.version.pool.quarantine import Verdict
 from berylspool.version.pool.transport import Transport
@@ -161,7 +165,7 @@
         self.router = Router(
             RoutingState(name, Sharing.ALONE),
             make_shared_tuning(settings.routing, self.own_settings.zone, name),
-            log=self.log.put,
+            log=self._log_decision,
             clock=clock,
             on_reply=self._handle_reply,
             on_borrow=lambda key, copies: self.control.inbox.put(
@@ -180,7 +184,7 @@
             on_lease=lambda until: None,
             on_table=self._apply_table,
             take_tallies=lambda: take_tallies(self.statistics),
-            on_listing=self.state.set_listing,
+            on_listing=self._apply_listing,
             get_convicted=lambda: tuple(self._evidence.convicted_at),
             on_convicted=self._adopt_convictions,
             on_lent=self.router.receive_loans,
@@ -202,6 +206,11 @@
         update_moves(self.statistics, self.state.configuration.move_by_route)
         self.router.inbox.put(ConfigurationChanged(configuration))
 
+    def _apply_listing(self, listing: Listing) -> None:
+        self.state.set_listing(listing)
+        ids = frozenset(listing.listed_by_id)
+        self.router.inbox.put(UpstreamsListed(ids))
+
     def _apply_table(self, table: MemberTable) -> None:
         """Report the table as drained, as no service is owned."""
         self.control.inbox.put(TableDrained(table.epoch))
@@ -302,6 +311,12 @@
         update_containment(self._evidence, observed_reply, self._clock())
         count_reply(self.metrics, observed_reply)
 
+    def _log_decision(self, event: Event) -> None:
+        if isinstance(event, UpstreamNoticed):
+            name = "berylspool_upstream_notices_total"
+            increment_counter(self.metrics, name, notice=event.notice)
+        self.log.put(event)
+
     def _adopt_convictions(self, fingerprints: tuple[str, ...]) -> None:
         now = self._clock()
         self._block_convicted(
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -43,6 +43,7 @@
     StartPool,
     StopPool,
     TableChanged,
+    UpstreamsListed,
 )
 from berylspool.request.part_message import (
     DiscardPart,
@@ -72,7 +73,9 @@
 HELD_PARTS_RETRY_INTERVAL_S = 0.02
 
 
-RouterMessage = RoutingEvent | PoolMessage | Subscribe | Unsubscribe
+RouterMessage = (
+    RoutingEvent | PoolMessage | Subscribe | Unsubscribe | UpstreamsListed
+)
 
 
 class Router:
@@ -173,6 +176,8 @@
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
                 self._inbox_by_request.pop(request_id, None)
+            case UpstreamsListed(ids=ids):
+                self._pools.forget_unlisted(ids)
             case PoolMessage():
                 self._pools.receive(message)
             case _:
--- a/berylspool/process/entry/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -34,6 +34,7 @@
     "StartPool",
     "StopPool",
     "TableChanged",
+    "UpstreamsListed",
 ]
 
 
@@ -154,6 +155,17 @@
     """The process shuts down and accepts no new parts from peers."""
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamsListed:
+    """A newer listing of upstreams is in force.
+
+    Attributes:
+        ids: Ids of all listed upstreams.
+    """
+
+    ids: frozenset[str]
+
+
 @dataclass(frozen=True, slots=True)
 class EntryClosing:
     """The process is about to exit: parts that were never sent are refused."""
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -33,6 +33,7 @@
         TIMEOUT: No answer arrived in time.
         OVERLOAD: Too many requests are waiting at the pool or the upstream.
         COLD: Upstreams have started recently and take less load.
+        PAUSED: All upstreams have asked for a pause.
         CONNECTION_LOST: The connection to the upstream was closed or did not
             respond.
         QUARANTINED: The request is convicted of crashing upstreams.
@@ -56,6 +57,7 @@
     TIMEOUT = "timeout"
     OVERLOAD = "overload"
     COLD = "cold"
+    PAUSED = "paused"
     CONNECTION_LOST = "connection_lost"
     QUARANTINED = "quarantined"
     WRONG_SNAPSHOT = "wrong_snapshot"
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -97,6 +97,8 @@
         version: Index version or software version that it serves.
         state: Whether it gets new requests.
         is_cold: Whether it reports that it has started recently.
+        started_at_ms: Start of its process, in Unix milliseconds, if it is
+            known.
     """
 
     id: str
@@ -106,6 +108,7 @@
     version: str
     state: UpstreamState = UpstreamState.SERVING
     is_cold: bool = False
+    started_at_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -10,13 +10,18 @@
 import heapq
 
 from berylspool.common.event import UpstreamChanged
-from berylspool.request.query import Part, PartRefused, Reason
+from berylspool.request.query import Part, Reason
 from berylspool.version.pool.attempt import (
     close_silent_connection,
     describe_abandoned,
     describe_choice,
     on_attempt_answered,
 )
+from berylspool.version.pool.availability import (
+    make_refusal,
+    refusal_reason,
+    refuse_unservable,
+)
 from berylspool.version.pool.connections import (
     drop_unused_upstreams,
     on_connection_closed,
@@ -65,14 +70,13 @@
     enqueue_job,
     fail_job,
     hedge_delay_s,
-    retry_after_s,
     set_timer,
 )
 from berylspool.version.upstream.balancing import (
     choose_upstream,
 )
+from berylspool.version.upstream.notices import on_instance_changed
 from berylspool.version.upstream.slow_start import (
-    allowed_slots,
     is_warm,
     on_instance_report,
     on_send,
@@ -130,6 +134,7 @@
             actions = drop_unused_upstreams(pool)
     actions += _run_timers(pool, now)
     actions += _dispatch(pool, now)
+    actions += refuse_unservable(pool, now)
     if pool.tuning.opens_on_demand:
         actions += open_connections_on_demand(pool, now)
     elif isinstance(event, CONNECTION_EVENTS):
@@ -141,10 +146,9 @@
     pool.last_arrival_at = now
     if part.id in pool.job_by_part:
         return []
-    reason = _refusal_reason(pool, part, now)
+    reason = refusal_reason(pool, part, now)
     if reason is not None:
-        refusal = PartRefused(part.id, reason, retry_after_s(pool))
-        return [SendResult(refusal)]
+        return [SendResult(make_refusal(pool, part.id, reason, now))]
     job = Job(part, now + part.timeout_s, now)
     pool.job_by_part[part.id] = job
     deposit(pool.budget)
@@ -153,32 +157,6 @@
     return []
 
 
-def _refusal_reason(pool: Pool, part: Part, now: float) -> Reason | None:
-    """Return why a new part must be refused, or None to admit it."""
-    if pool.is_closing:
-        return Reason.SHUTTING_DOWN
-    if is_convicted(pool.verdicts, part.fingerprint):
-        return Reason.QUARANTINED
-    views = [
-        view
-        for view in pool.view_by_upstream.values()
-        if view.is_serving and not view.is_draining
-    ]
-    if not views:
-        return Reason.NO_UPSTREAM
-    if not pool.queue:
-        return None
-    slots = sum(allowed_slots(v.slow_start, v.limits, now) for v in views)
-    expected_s = len(pool.queue) * pool.mean_latency_s / max(slots, 1)
-    if (
-        len(pool.queue) >= pool.tuning.queue_limit
-        or expected_s > part.timeout_s * pool.tuning.wait_share
-    ):
-        is_cold = any(not is_warm(v.slow_start, v.limits, now) for v in views)
-        return Reason.COLD if is_cold else Reason.OVERLOAD
-    return None
-
-
 def _run_timers(pool: Pool, now: float) -> list[PoolAction]:
     actions: list[PoolAction] = []
     while pool.timers and pool.timers[0][0] <= now:
@@ -347,7 +325,7 @@
     if view is None:
         return []
     if on_instance_report(view.slow_start, event.instance):
-        view.is_draining = False
+        on_instance_changed(pool.notices, view)
     if event.is_draining and not view.is_draining:
         view.is_draining = True
         return [Log(UpstreamChanged(view.upstream.id, "draining"))]
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -5,6 +5,11 @@
 from berylspool.common.event import SilentReplaced
 from berylspool.common.part_event import PartAbandoned, PartChosen
 from berylspool.request.query import PartFailed, PartRows, Reason
+from berylspool.version.pool.availability import (
+    closed_reason,
+    end_unservable,
+    on_notice,
+)
 from berylspool.version.pool.extra_copies import (
     has_reached_send_limit,
     retry_within_budget,
@@ -39,6 +44,7 @@
     fail_job,
     finish_job,
 )
+from berylspool.version.upstream.notices import on_instance_changed
 from berylspool.version.upstream.slow_start import (
     REFUSAL_BACKOFF_S,
     is_warm,
@@ -49,6 +55,7 @@
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
+    raise_slots_after_pause,
 )
 
 __all__ = [
@@ -69,14 +76,32 @@
 def on_attempt_answered(
     pool: Pool, event: AttemptAnswered, now: float
 ) -> list[PoolAction]:
-    """Handle the reply of an upstream to an attempt."""
+    """Handle the reply of an upstream to an attempt, and its notice."""
+    view = _find_view(pool, event.connection_id) if event.notice else None
+    if view is None or event.notice is None:
+        return _on_reply(pool, event, now)
+    notice_actions = on_notice(pool, view, event.notice, now)
+    return [*notice_actions, *_on_reply(pool, event, now)]
+
+
+def _find_view(pool: Pool, connection_id: int) -> UpstreamView | None:
+    """Return the upstream of a connection, or None if it has left."""
+    for view in pool.view_by_upstream.values():
+        if connection_id in view.connection_by_id:
+            return view
+    return None
+
+
+def _on_reply(
+    pool: Pool, event: AttemptAnswered, now: float
+) -> list[PoolAction]:
     attempt = end_attempt(pool, event.attempt_id)
     if attempt is None:
         _update_from_late_reply(pool, event, now)
         return []
     view = pool.view_by_upstream.get(attempt.upstream_id)
     if view is not None and on_instance_report(view.slow_start, event.instance):
-        view.is_draining = False
+        on_instance_changed(pool.notices, view)
     latency_s = now - attempt.sent_at
     if view is not None:
         _record_connection_use(pool, view, event.connection_id, attempt, now)
@@ -161,15 +186,10 @@
 def _update_from_late_reply(
     pool: Pool, event: AttemptAnswered, now: float
 ) -> None:
-    """Update an upstream's state from a refusal on a closing connection.
-
-    The connection was unresponsive and its attempt has already ended.
-    """
-    for view in pool.view_by_upstream.values():
-        if event.connection_id in view.connection_by_id and isinstance(
-            event.reply, NotRunReply
-        ):
-            _update_from_reply(view, event.reply, now)
+    """Update an upstream's state from a refusal of an attempt that ended."""
+    view = _find_view(pool, event.connection_id)
+    if view is not None and isinstance(event.reply, NotRunReply):
+        _update_from_reply(view, event.reply, now)
 
 
 def _record_duration(pool: Pool, job: Job, elapsed_s: float) -> None:
@@ -202,6 +222,7 @@
         case RowsReply():
             on_answer(view.slow_start, now)
             view.record_reply(is_refusal=False, now=now)
+            raise_slots_after_pause(view)
             view.reconnect_delay_s = 0.0
         case NotRunReply(reason=Reason.OVERLOAD):
             view.record_reply(is_refusal=True, now=now)
@@ -229,6 +250,9 @@
         return finish_job(pool, job, result)
     if job.attempt_by_id or job.queue_items:
         return []
+    closed = closed_reason(pool, now)
+    if closed is not None:
+        return end_unservable(pool, job, closed, now)
     if has_reached_send_limit(pool, job):
         return fail_job(pool, job, reason)
     # The upstream did not run it, so a new send cannot run it twice.
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -5,7 +5,7 @@
 from berylspool.common.event import UpstreamChanged
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.attempt import on_attempt_lost
-from berylspool.version.pool.connection_limits import infer_limits_from_loss
+from berylspool.version.pool.availability import note_pending_notice
 from berylspool.version.pool.hedging import set_max_tokens
 from berylspool.version.pool.message import (
     CloseConnection,
@@ -15,8 +15,17 @@
     OpenConnection,
     PoolAction,
 )
-from berylspool.version.pool.state import Job, Pool, earliest_idle_since
+from berylspool.version.pool.state import (
+    Job,
+    Pool,
+    earliest_idle_since,
+)
 from berylspool.version.upstream.balancing import rank_upstreams
+from berylspool.version.upstream.connection_limits import infer_limits_from_loss
+from berylspool.version.upstream.notices import (
+    on_instance_changed,
+    restore_notices,
+)
 from berylspool.version.upstream.slow_start import (
     LISTING_LAG_S,
     mark_cold,
@@ -71,7 +80,7 @@
         mark_cold(view.cold_rate, view.limits.cold_s, now)
     actions: list[PoolAction] = []
     if on_instance_report(view.slow_start, event.instance):
-        view.is_draining = False
+        on_instance_changed(pool.notices, view)
         change = f"instance {event.instance} is cold"
         actions.append(Log(UpstreamChanged(view.upstream.id, change)))
     if connection.state is ConnectionState.OPENING:
@@ -138,6 +147,8 @@
             view = pool.view_by_upstream[upstream.id]
             mark_cold(view.cold_rate, max(limits.cold_s, LISTING_LAG_S), now)
     for view in pool.view_by_upstream.values():
+        restore_notices(pool.notices, view)
+        note_pending_notice(pool, view)
         view.is_outside_subset = view.upstream.id not in subset
     return drop_unused_upstreams(pool)
 
@@ -313,6 +324,7 @@
     return (
         view.is_serving
         and not view.is_draining
+        and now >= view.paused_until
         and now >= view.reconnect_at
         and not view.reserved_for
     )
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -48,6 +48,7 @@
     "StopTask",
     "Tick",
     "TimerKind",
+    "UpstreamNotice",
     "UpstreamReply",
 ]
 
@@ -110,6 +111,22 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamNotice:
+    """What an upstream says of itself in an answer.
+
+    Attributes:
+        is_leaving: Whether it is about to leave and wants no new work.
+        pause_s: Time for which it wants nothing from this entry, in seconds;
+            None if it does not ask for a pause.
+        unusable_pause: Text in place of a pause that states no time.
+    """
+
+    is_leaving: bool = False
+    pause_s: float | None = None
+    unusable_pause: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class OutrunReply:
     """Another copy answered first, so this copy is cancelled."""
@@ -175,6 +192,7 @@
     instance: str
     reply: UpstreamReply
     load: ReportedLoad | None = None
+    notice: UpstreamNotice | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import heapq
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -37,6 +37,7 @@
 from berylspool.version.pool.state import Pool, PoolTuning
 from berylspool.version.pool.timing import max_wait_s
 from berylspool.version.pool.transport import ConnectionTask, Transport
+from berylspool.version.upstream.notices import NoticeMemory, forget_unlisted
 
 __all__ = ["PoolListener", "PoolSet"]
 
@@ -133,6 +134,7 @@
         self._transport = transport
         self._running_by_key: dict[PoolKey, _RunningPool] = {}
         self._last_incarnation = 0
+        self._notices = NoticeMemory()
         # Heap of (time, key); entries that differ from `wake_at` are stale.
         self._wake_times: list[tuple[float, PoolKey]] = []
         self._changed_keys: set[PoolKey] = set()
@@ -144,12 +146,16 @@
         self._last_incarnation += 1
         incarnation = self._last_incarnation
         self._running_by_key[key] = _RunningPool(
-            Pool(service, version, self._tuning),
+            Pool(service, version, self._tuning, notices=self._notices),
             incarnation,
             _InboxOfPool(key, incarnation, self._inbox),
         )
         self._changed_keys.add(key)
 
+    def forget_unlisted(self, listed_ids: Collection[str]) -> None:
+        """Forget what upstreams have said that are gone from the list."""
+        forget_unlisted(self._notices, listed_ids)
+
     def remove(self, key: PoolKey) -> None:
         """Remove a pool that has drained, and close its connections."""
         running = self._running_by_key.pop(key, None)
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -22,6 +22,7 @@
 from berylspool.version.upstream.balancing import (
     BalancingPolicy,
 )
+from berylspool.version.upstream.notices import NoticeMemory
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
@@ -202,6 +203,9 @@
         budget: Budget of extra copies.
         borrow_after: Time before which control is not asked for copies again,
             monotonic seconds.
+        notices: What upstreams have said of themselves, for all pools.
+        noticed_until: Time until which a notice of one of the upstreams may
+            hold, monotonic seconds.
         hedge_delay: Estimator of the hedge delay.
     """
 
@@ -227,6 +231,8 @@
     mean_latency_s: float = INITIAL_MEAN_LATENCY_S
     usual_latency_by_route: dict[str, float] = field(default_factory=dict)
     borrow_after: float = float("-inf")
+    notices: NoticeMemory = field(default_factory=NoticeMemory)
+    noticed_until: float = float("-inf")
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
--- a/berylspool/version/upstream/balancing.py
+++ b/berylspool/version/upstream/balancing.py
@@ -74,10 +74,13 @@
 BalancingPolicy = RandomChoice | FewestInFlight | ZoneAware | LeastLoaded
 
 
-def _has_untried(views: Iterable[UpstreamView], tried: frozenset[str]) -> bool:
+def _has_untried(
+    views: Iterable[UpstreamView], tried: frozenset[str], now: float
+) -> bool:
     return any(
         view.is_serving
         and not view.is_draining
+        and now >= view.paused_until
         and view.upstream.id not in tried
         for view in views
     )
@@ -118,7 +121,7 @@
     ]
     if tried:
         untried = [v for v in candidates if v.upstream.id not in tried]
-        if not untried and _has_untried(views, tried):
+        if not untried and _has_untried(views, tried, now):
             return None
         candidates = untried or candidates
     candidates = [
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -19,6 +19,7 @@
     "UpstreamView",
     "find_idle_connection",
     "free_slots",
+    "raise_slots_after_pause",
 ]
 
 LATENCY_EWMA_WEIGHT = 0.1
@@ -108,6 +109,11 @@
             only for parts that the subset cannot take.
         connections_full_until: Time until which it is assumed to accept no
             further connections, monotonic seconds.
+        paused_until: End of the pause that it has asked for, monotonic
+            seconds.
+        slots_after_pause: Slots that it gets after a pause, which double with
+            each answer; None without a limit.
+        has_unusable_pause: Whether it has stated a pause that is no time.
     """
 
     upstream: Upstream
@@ -131,6 +137,9 @@
     cold_rate: ColdRateLimit = field(default_factory=ColdRateLimit)
     is_outside_subset: bool = False
     connections_full_until: float = float("-inf")
+    paused_until: float = float("-inf")
+    slots_after_pause: int | None = None
+    has_unusable_pause: bool = False
 
     def record_load(self, load: ReportedLoad, now: float) -> None:
         """Record the share of a reported load that other entries cause."""
@@ -211,11 +220,22 @@
     """
     if not view.is_serving or view.is_draining or view.reserved_for:
         return 0
+    if now < view.paused_until:
+        return 0
     if not may_send(view.cold_rate, view.limits, now):
         return 0
-    return max(
-        0, allowed_slots(view.slow_start, view.limits, now) - view.in_flight
-    )
+    slots = allowed_slots(view.slow_start, view.limits, now)
+    if view.slots_after_pause is not None:
+        slots = min(slots, view.slots_after_pause)
+    return max(0, slots - view.in_flight)
+
+
+def raise_slots_after_pause(view: UpstreamView) -> None:
+    """Let an upstream that has answered after a pause have more requests."""
+    if view.slots_after_pause is not None:
+        view.slots_after_pause *= 2
+        if view.slots_after_pause >= view.limits.slots:
+            view.slots_after_pause = None
 
 
 def find_idle_connection(
