The soak plays upstreams that leave or ask for a pause

Change: stand-ins say in their answers that they leave, until they restart, and refuse parts with a pause. The checker counts parts that reach an instance after its notice; a planted violation of each is caught. Entries that keep a connection for each slot open none to a paused upstream.

--- a/berylspool/tool/standin.py
+++ b/berylspool/tool/standin.py
@@ -18,6 +18,7 @@
 
 from berylspool.connection import upstream_codec
 from berylspool.process.settings import StandinSettings
+from berylspool.tool.standin_fault import Fault
 from berylspool.version.configuration import Configuration, Limits, Upstream
 
 __all__ = ["Standin", "make_standins"]
@@ -36,33 +37,6 @@
 }
 
 
-@dataclass(slots=True)
-class Fault:
-    """Faults that an experiment can inject at run time.
-
-    The attributes are the JSON keys of a request to `/standin/fault`.
-
-    Attributes:
-        fail_share: Share of parts that fail with status 500.
-        slow_factor: Factor by which the service time is multiplied.
-        thin_share: Share of answers that lack their last row.
-        is_silent: Whether requests are read and never answered.
-        is_draining: Whether new parts are refused.
-        lies: Whether health and load falsely report a serving, idle
-            upstream.
-        only_route_mark: Text that a request body must contain for the faults
-            to apply.
-    """
-
-    fail_share: float = 0.0
-    slow_factor: float = 1.0
-    thin_share: float = 0.0
-    is_silent: bool = False
-    is_draining: bool = False
-    lies: bool = False
-    only_route_mark: str = ""
-
-
 @dataclass(frozen=True, slots=True)
 class RunningPart:
     """A part that is being served, and the timer that finishes it."""
@@ -116,6 +90,8 @@
         digest = hashlib.sha256(seed).digest()
         self.rng = random.Random(int.from_bytes(digest[:8], "big"))
         self.instance = uuid.uuid4().hex[:12]
+        self.fault.is_leaving = False
+        self.fault.pause_until = float("-inf")
         self.first_answer_at = None
         self.in_flight = 0
         self.server = HTTPServer(self._accept_request)
@@ -207,6 +183,9 @@
         if changes.pop("crash", False):
             self.crash()
             return
+        pause_s = changes.pop("pause_s", None)
+        if pause_s is not None:
+            self.fault.pause_until = self.clock() + pause_s
         for name, value in changes.items():
             setattr(self.fault, name, value)
         self._respond(request, 204, {}, b"")
@@ -231,6 +210,10 @@
                 upstream_codec.NOT_RUN: "true",
                 upstream_codec.REASON: reason,
             }
+            pause_s = self.fault.pause_until - self.clock()
+            if pause_s > 0.0:
+                headers[upstream_codec.PAUSE] = f"{pause_s:.3f}"
+                self._record_event("paused", attempt_id, 0, pause_s=pause_s)
             self._record_event("refused", attempt_id, status)
             self._respond(request, status, headers, b"{}")
             return
@@ -253,7 +236,8 @@
         version = request.headers.get(upstream_codec.INDEX_VERSION)
         if version != self.upstream.version:
             return 409, "wrong-version"
-        if self.in_flight >= self.limits.slots:
+        is_paused = self.clock() < self.fault.pause_until
+        if is_paused or self.in_flight >= self.limits.slots:
             return 503, "shed"
         return None
 
@@ -301,7 +285,8 @@
             status = 500
         if status == 200 and self.first_answer_at is None:
             self.first_answer_at = self.clock()
-        self._record_event("answered", attempt_id, status)
+        is_leaving = self.fault.is_leaving
+        self._record_event("answered", attempt_id, status, leaves=is_leaving)
         headers, body = self._encode_rows(request, is_affected)
         self._respond(request, status, headers, body)
 
@@ -351,6 +336,8 @@
                 **headers,
             }
         )
+        if self.fault.is_leaving:
+            response_headers[upstream_codec.LEAVING] = "true"
         if status != 204:
             response_headers["Content-Length"] = str(len(body))
         start_line = ResponseStartLine("HTTP/1.1", status, STATUS_TEXT[status])
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -187,7 +187,7 @@
             - len(view.connection_by_id)
         )
         wanted = view.limits.slots + SPARE_CONNECTIONS - live_count
-        if now < view.reconnect_at:
+        if now < max(view.reconnect_at, view.paused_until):
             continue
         for _ in range(min(wanted, room)):
             connection = ConnectionView(pool.next_serial(), view.upstream.id)
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -41,6 +41,13 @@
 MAX_SAVED_ATTEMPTS = 10
 
 
+# Time from an answer of an upstream until its entry has read it.
+NOTICE_DELAY_S = 0.5
+# Parts that each start of an entry may send to an upstream after that: it owns
+# upstreams of which another entry has read the notice.
+MAX_PARTS_AFTER_NOTICE = 2
+
+
 @dataclass(frozen=True, slots=True)
 class Exchange:
     """One request and the result that its caller received.
@@ -363,6 +370,59 @@
             )
 
 
+def _arrivals(history: RunHistory) -> dict[tuple[str, str], list[float]]:
+    """Return the times of parts at each instance of each upstream."""
+    times_by_instance = defaultdict(list)
+    for record in history.records:
+        if record["event"] in ("run", "refused"):
+            instance = (record["upstream"], record["instance"])
+            times_by_instance[instance].append(record["at"])
+    return times_by_instance
+
+
+def _max_parts_after_notice(history: RunHistory) -> int:
+    return MAX_PARTS_AFTER_NOTICE * max(1, history.entry_start_count)
+
+
+def left(history: RunHistory) -> Iterator[str]:
+    """An upstream that has said that it leaves gets no more parts."""
+    told_at_by_instance: dict[tuple[str, str], float] = {}
+    for record in history.records:
+        if record["event"] == "answered" and record.get("leaves"):
+            instance = (record["upstream"], record["instance"])
+            told_at_by_instance.setdefault(instance, record["at"])
+    arrivals = _arrivals(history)
+    for instance, told_at in told_at_by_instance.items():
+        late = [
+            at for at in arrivals[instance] if at > told_at + NOTICE_DELAY_S
+        ]
+        if len(late) > _max_parts_after_notice(history):
+            yield f"{instance[0]}: {len(late)} parts after it said it leaves"
+
+
+def paused(history: RunHistory) -> Iterator[str]:
+    """An upstream that has asked for a pause gets no parts until its end."""
+    spans_by_instance: dict[tuple[str, str], list[tuple[float, float]]]
+    spans_by_instance = defaultdict(list)
+    for record in history.records:
+        if record["event"] == "paused":
+            instance = (record["upstream"], record["instance"])
+            span = (
+                record["at"] + NOTICE_DELAY_S,
+                record["at"] + record["pause_s"],
+            )
+            spans_by_instance[instance].append(span)
+    arrivals = _arrivals(history)
+    for instance, spans in spans_by_instance.items():
+        early = [
+            at
+            for at in arrivals[instance]
+            if any(start < at < end for start, end in spans)
+        ]
+        if len(early) > _max_parts_after_notice(history):
+            yield f"{instance[0]}: {len(early)} parts in a pause"
+
+
 INVARIANTS: tuple[Callable[[RunHistory], Iterator[str]], ...] = (
     mixed,
     misdelivered,
@@ -374,6 +434,8 @@
     reverted,
     cut,
     extra,
+    left,
+    paused,
 )
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -41,6 +41,8 @@
     FreezeProcess,
     ImpairLink,
     KillProcess,
+    LeaveUpstream,
+    PauseUpstream,
     RestartProcess,
     ScheduledFault,
     make_schedule,
@@ -235,7 +237,14 @@
             finally:
                 soak_run.faulted_names.discard(name)
         case CrashUpstream(name=name):
-            await _crash_upstream(soak_run, name)
+            await _set_upstream_fault(soak_run, name, {"crash": True})
+        case PauseUpstream(name=name, duration_s=duration_s):
+            changes = {"pause_s": duration_s}
+            await _set_upstream_fault(soak_run, name, changes)
+        case LeaveUpstream(name=name, duration_s=duration_s):
+            await _set_upstream_fault(soak_run, name, {"is_leaving": True})
+            await asyncio.sleep(duration_s)
+            await _set_upstream_fault(soak_run, name, {"crash": True})
         case ImpairLink(
             name=name, impairment=impairment, duration_s=duration_s
         ):
@@ -281,12 +290,14 @@
             soak_run.start(name)
 
 
-async def _crash_upstream(soak_run: SoakRun, name: str) -> None:
-    """Crash a stand-in upstream by a request to its port, not to its proxy."""
+async def _set_upstream_fault(
+    soak_run: SoakRun, name: str, changes: dict[str, Any]
+) -> None:
+    """Set faults of a stand-in by a request to its port, not to its proxy."""
     host, port = soak_run.proxy_by_link[name].target
     with contextlib.suppress(OSError):
         _, writer = await asyncio.open_connection(host, port)
-        data = b'{"crash": true}'
+        data = json.dumps(changes).encode()
         head = "POST /standin/fault HTTP/1.1\r\nHost: soak\r\n"
         length = f"Content-Length: {len(data)}\r\n\r\n"
         writer.write((head + length).encode() + data)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -16,6 +16,8 @@
     "FreezeProcess",
     "ImpairLink",
     "KillProcess",
+    "LeaveUpstream",
+    "PauseUpstream",
     "RestartProcess",
     "ScheduledFault",
     "make_schedule",
@@ -98,6 +100,32 @@
     name: str
 
 
+@dataclass(frozen=True, slots=True)
+class LeaveUpstream:
+    """An upstream says in its answers that it leaves, and restarts later.
+
+    Attributes:
+        name: Id of the upstream.
+        duration_s: Time until it restarts, seconds.
+    """
+
+    name: str
+    duration_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PauseUpstream:
+    """An upstream refuses parts and asks for a pause.
+
+    Attributes:
+        name: Id of the upstream.
+        duration_s: Length of the pause, seconds.
+    """
+
+    name: str
+    duration_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ImpairLink:
     """Impairs the connections of a link for some time.
@@ -132,6 +160,8 @@
     | RestartProcess
     | FreezeProcess
     | CrashUpstream
+    | LeaveUpstream
+    | PauseUpstream
     | ImpairLink
     | EvacuateZone
 )
@@ -191,9 +221,31 @@
         start_s += (
             MAX_FAULT_DURATION_S + MIN_CONTROL_GAP_S + rng.uniform(0.0, 2.0)
         )
+    scheduled_faults += _draw_notices(seed, targets, length_s)
     return sorted(scheduled_faults, key=lambda scheduled: scheduled.start_s)
 
 
+def _draw_notices(
+    seed: int, targets: FaultTargets, length_s: float
+) -> list[ScheduledFault]:
+    """Return the notices of upstreams, of a generator of their own.
+
+    The other faults of a seed stay as they were.
+    """
+    rng = random.Random(f"{seed} notices")
+    scheduled_faults = []
+    start_s = FIRST_FAULT_S + rng.uniform(0.0, 2.0)
+    while start_s < length_s:
+        name, duration_s = rng.choice(targets.upstreams), _draw_duration(rng)
+        faults = (
+            LeaveUpstream(name, duration_s),
+            PauseUpstream(name, duration_s),
+        )
+        scheduled_faults.append(ScheduledFault(start_s, rng.choice(faults)))
+        start_s += rng.uniform(0.5, 3.0)
+    return scheduled_faults
+
+
 def _draw_duration(rng: random.Random) -> float:
     return round(rng.uniform(0.2, MAX_FAULT_DURATION_S), 2)
 
--- a/soak/tests/test_checker.py
+++ b/soak/tests/test_checker.py
@@ -51,6 +51,7 @@
         "event": "run",
         "at": at,
         "upstream": upstream,
+        "instance": "i1",
         "attempt": f"{REQUEST_ID}/0.0.1#{copy}",
         "idempotent": idempotent,
         "body": json.dumps({"mark": correlation_id}),
@@ -118,6 +119,23 @@
     history.records += [make_run_record(copy=copy) for copy in range(2, 14)]
 
 
+def make_refused_record(at):
+    refused = {"event": "refused", "upstream": "s-v1-a", "instance": "i1"}
+    return {**refused, "at": at}
+
+
+def violate_left(history):
+    answered = {**make_refused_record(9.0), "event": "answered"}
+    history.records.append({**answered, "leaves": True})
+    history.records += [make_refused_record(12.0) for _ in range(3)]
+
+
+def violate_paused(history):
+    pause = {**make_refused_record(9.0), "event": "paused", "pause_s": 4.0}
+    history.records.append(pause)
+    history.records += [make_refused_record(12.0) for _ in range(3)]
+
+
 @pytest.mark.parametrize(
     "invariant", [invariant.__name__ for invariant in INVARIANTS]
 )
@@ -161,3 +179,13 @@
         make_exchange("cut", ended_at=10.05, correlation_id="q2")
     )
     assert not find_violations(history)
+
+
+def test_parts_after_a_pause_and_of_another_instance_are_no_violation():
+    history = make_history()
+    pause = {**make_refused_record(9.0), "event": "paused", "pause_s": 2.0}
+    history.records.append(pause)
+    history.records += [make_refused_record(12.0) for _ in range(9)]
+    other = {**make_refused_record(10.5), "instance": "i2"}
+    history.records += [other] * 9
+    assert not find_violations(history)
--- a/soak/tests/test_schedule.py
+++ b/soak/tests/test_schedule.py
@@ -7,6 +7,8 @@
     FreezeProcess,
     ImpairLink,
     KillProcess,
+    LeaveUpstream,
+    PauseUpstream,
     RestartProcess,
     make_schedule,
 )
@@ -38,6 +40,8 @@
         RestartProcess,
         FreezeProcess,
         CrashUpstream,
+        LeaveUpstream,
+        PauseUpstream,
         ImpairLink,
         EvacuateZone,
     }
