An entry ends if one of its tasks fails

Cause: nobody read the exception of a task. Since one task runs all pools, a failure in it would leave an entry that accepts requests and answers none of them.

Change: the role waits for its tasks beside the stop, and ends with the exception of one that failed, so that the process is started anew and its cause is on standard error.

Measured: a failed task ends the wait, one that finishes does not (tests).

--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -50,7 +50,7 @@
     Sharing,
     UpstreamsListed,
 )
-from berylspool.process.lifetime import make_stop_event
+from berylspool.process.lifetime import make_stop_event, wait_until_stopped
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_shared_tuning
 from berylspool.process.running_requests import RunningRequests
@@ -367,7 +367,7 @@
         self.router.inbox.put(LeaseGranted(float("inf")))
         self.caller_listener.listen(self.own_settings.address)
         self.log.put(ProcessStarted("entry", self.name, VERSION))
-        await stopping.wait()
+        await wait_until_stopped(stopping, self._tasks)
         await self._stop(self.caller_listener)
 
     async def _stop(self, callers: CallerListener) -> None:
--- a/berylspool/process/entry/role.py
+++ b/berylspool/process/entry/role.py
@@ -34,7 +34,7 @@
     ShuttingDown,
     TableChanged,
 )
-from berylspool.process.lifetime import make_stop_event
+from berylspool.process.lifetime import make_stop_event, wait_until_stopped
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_owner_tuning
 from berylspool.process.settings import Settings, split_address
@@ -303,7 +303,7 @@
         """Serve until SIGTERM or SIGINT."""
         stopping = make_stop_event()
         await self.start()
-        await stopping.wait()
+        await wait_until_stopped(stopping, self._tasks)
         await self.stop()
 
 
--- a/berylspool/process/lifetime.py
+++ b/berylspool/process/lifetime.py
@@ -3,13 +3,14 @@
 import asyncio
 import gc
 import signal
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from typing import Any
 
 __all__ = [
     "make_stop_event",
     "serve_until_stopped",
     "start_garbage_collection",
+    "wait_until_stopped",
 ]
 
 # More than the objects of a query over some hundred shards: collections while
@@ -54,6 +55,29 @@
     return failure
 
 
+async def wait_until_stopped(
+    stop_event: asyncio.Event, tasks: Iterable[asyncio.Task[None]]
+) -> None:
+    """Wait until a stop event is set, or a task fails.
+
+    Args:
+        stop_event: Set when the process should stop.
+        tasks: Tasks without which the process would only seem to serve.
+
+    Raises:
+        Exception: That of the task that failed. The process has to end, so that
+            it is started anew.
+    """
+    stop_task = asyncio.ensure_future(stop_event.wait())
+    running = {stop_task, *tasks}
+    while not stop_task.done():
+        done, running = await asyncio.wait(
+            running, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            task.result()
+
+
 def start_garbage_collection() -> None:
     """Enable garbage collection of objects that are created from now on.
 
