A switch of protocols by an upstream ends its connection without a traceback

Cause: the parser reports it by an exception of its own, which the event loop logged. Change: it stops the connection like any response that is none. The new test passes on the code before, too; what goes is the traceback.

--- a/berylspool/platform/tests/test_upstream.py
+++ b/berylspool/platform/tests/test_upstream.py
@@ -421,6 +421,15 @@
         assert event == ConnectionClosed(1, "i-1"), cut_response
 
 
+def test_switch_to_another_protocol_is_no_answer():
+    switch = (
+        b"HTTP/1.1 101 Switching Protocols\r\n"
+        b"Upgrade: x\r\nConnection: upgrade\r\n\r\n"
+    )
+    upstream = ScriptedUpstream(switch, ends=[(0, "eof")])
+    assert event_after_sending_to(upstream) == ConnectionClosed(1, "i-1")
+
+
 def test_response_without_length_that_is_reset_is_no_answer():
     bare = f"HTTP/1.1 200 OK\r\n{STAMP_LINE}\r\nabc".encode()
     for end in range(len(bare) + 1):
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -71,7 +71,11 @@
             return
         try:
             self._parser.feed_data(data)
-        except (httptools.HttpParserError, ValueError):
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            ValueError,
+        ):
             self._connection.stop()
             return
         has_head = self._response.status >= 200
