The project's own entries answer what is left when they stop, too

Change: both kinds of entry count their requests in RunningRequests, admit only those that end in time once they have stopped to listen, and end the rest with an outcome before connections close.

Evidence: the new end-to-end test fails on the code before (no answer when the entry has stopped).

--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -53,7 +53,7 @@
 from berylspool.process.lifetime import make_stop_event, wait_until_stopped
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_shared_tuning
-from berylspool.process.running_requests import RunningRequests
+from berylspool.process.running_requests import FINISH_S, RunningRequests
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
 from berylspool.request.fanout import PinnedMap
@@ -89,8 +89,6 @@
 QUARANTINE_S = 60.0
 # Enough to write the last answers and to close a few hundred connections.
 CLOSE_TIMEOUT_S = 0.1
-# Time before the end of the grace period at which the last requests must end.
-FINISH_S = 0.2
 # Approximate time to elect a leader of control and distribute its state.
 NO_PLAN_RETRY_S = 0.7
 # While control has a leader, a new process has its plan within this time.
--- a/berylspool/process/entry/role.py
+++ b/berylspool/process/entry/role.py
@@ -29,6 +29,7 @@
 from berylspool.process.entry.routing import RoutingState
 from berylspool.process.entry.routing_message import (
     ConfigurationChanged,
+    EntryClosing,
     LeaseGranted,
     Sharing,
     ShuttingDown,
@@ -37,6 +38,7 @@
 from berylspool.process.lifetime import make_stop_event, wait_until_stopped
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_owner_tuning
+from berylspool.process.running_requests import FINISH_S, RunningRequests
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
 from berylspool.request.command_task import CommandTask
@@ -102,6 +104,7 @@
         self.control: ControlClient | None = None
         self.lease_until = float("-inf")
         self.is_closing = False
+        self.running = RunningRequests(clock)
         self.statistics = ReplyStatistics()
         self.router = Router(
             RoutingState(name, Sharing(settings.routing.sharing)),
@@ -146,14 +149,18 @@
             )
         except UnknownRouteError:
             return Refusal(query.id, Reason.UNKNOWN_ROUTE, True, 0.0)
+        if not self.running.may_end_in_time(query, target_latency_s=0.0):
+            return Refusal(query.id, Reason.SHUTTING_DOWN, True, 0.0)
         request = RequestTask(query, self.router.inbox, self._clock)
-        if query.key is not None:
-            return await self._build_command_task(query, request).run(pinned)
-        watcher = asyncio.ensure_future(_watch_caller(caller_gone, request))
-        try:
-            return await request.run(pinned)
-        finally:
-            watcher.cancel()
+        with self.running.track(request):
+            if query.key is not None:
+                command = self._build_command_task(query, request)
+                return await command.run(pinned)
+            watcher = asyncio.ensure_future(_watch_caller(caller_gone, request))
+            try:
+                return await request.run(pinned)
+            finally:
+                watcher.cancel()
 
     def _build_command_task(
         self, query: Query, request: RequestTask
@@ -271,11 +278,18 @@
         self.is_ready.publish(False)
         await asyncio.sleep(self.own_settings.notice_s)
         self.caller_server.stop_listening()
+        drain_s = self.own_settings.drain_s - FINISH_S
+        self.running.ends_at = self._clock() + drain_s
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.own_settings.drain_s):
+            async with asyncio.timeout(drain_s):
                 await self._hand_over_services()
                 while self.caller_state.in_flight:
                     await asyncio.sleep(DRAIN_POLL_INTERVAL_S)
+        await self.running.end_all(
+            lambda: self.router.inbox.put(EntryClosing())
+        )
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FINISH_S):
                 await self.caller_server.close()
         for task in self._tasks:
             task.cancel()
--- a/berylspool/process/running_requests.py
+++ b/berylspool/process/running_requests.py
@@ -11,7 +11,10 @@
 from berylspool.request.query import Query
 from berylspool.request.request_task import RequestTask
 
-__all__ = ["RunningRequests"]
+__all__ = ["FINISH_S", "RunningRequests"]
+
+# Time before the end of a graceful stop at which the last requests must end.
+FINISH_S = 0.2
 
 POLL_INTERVAL_S = 0.02
 # The last accepted connections send requests within one or two round trips.
--- a/berylspool/tests/test_end_to_end.py
+++ b/berylspool/tests/test_end_to_end.py
@@ -186,6 +186,27 @@
     run(body())
 
 
+def test_graceful_stop_answers_requests_that_do_not_end_in_time(tmp_path):
+    async def body():
+        async with run_cluster(tmp_path, entries=1) as cluster:
+            entry = cluster.entry_by_name["entry-0"]
+            entry.own_settings = entry.own_settings.model_copy(
+                update={"notice_s": 0.1, "drain_s": 0.6}
+            )
+            for standin in cluster.standin_by_id.values():
+                standin.fault.is_silent = True
+            sending = asyncio.ensure_future(cluster.send_request("entry-0"))
+            await cluster.wait_until(cluster.run_records)
+            await entry.stop()
+            del cluster.entry_by_name["entry-0"]
+            await asyncio.sleep(0.1)
+            assert sending.done()
+            _, answer = await sending
+            assert answer["outcome"] == "unknown"
+
+    run(body())
+
+
 def test_zone_that_is_out_gets_no_new_work(tmp_path):
     async def body():
         async with run_cluster(tmp_path) as cluster:
