A waiting part wakes its pool at the end of a pause

Cause: the time of the next wake-up knew back-offs and cold rates, not pauses, so a part that waited beside full upstreams could miss the end of a pause by up to 0.25 s. Evidence: the new test fails without the change.

--- a/berylspool/version/pool/tests/test_availability.py
+++ b/berylspool/version/pool/tests/test_availability.py
@@ -30,6 +30,7 @@
     PoolDriver,
     make_part,
 )
+from berylspool.version.pool.timing import max_wait_s
 from berylspool.version.upstream.notices import (
     MAX_SPREAD_SHARE,
     forget_unlisted,
@@ -215,6 +216,16 @@
     assert len(set(delays)) > 1
 
 
+def test_pool_wakes_at_the_end_of_a_pause_for_a_part_that_waits():
+    driver = PoolDriver()
+    answer(driver, send_to_near(driver), REFUSAL, 0.0, pause(0.2))
+    for number in range(2, 6):
+        request_part(driver, number, 0.1)
+    assert driver.pool.queue
+    ends_at = driver.pool.view_by_upstream["near"].paused_until
+    assert max_wait_s(driver.pool, ends_at - 0.01) <= 0.011
+
+
 def test_another_incarnation_has_no_pause():
     driver = PoolDriver(upstreams=(NEAR,))
     answer(driver, send_to_near(driver), REFUSAL, 0.0, pause(PAUSE_S))
--- a/berylspool/version/pool/timing.py
+++ b/berylspool/version/pool/timing.py
@@ -37,7 +37,7 @@
 
 def _accepts_work_at(view: UpstreamView, now: float) -> float:
     """Return when an upstream that gets no work now may get some again."""
-    times = [view.slow_start.backoff_until]
+    times = [view.slow_start.backoff_until, view.paused_until]
     if view.cold_rate.cold_until > now:
         times.append(next_send_at(view.cold_rate, now))
     return min((time for time in times if time > now), default=float("inf"))
