--- a/berylspool/version/pool/tests/test_availability.py
+++ b/berylspool/version/pool/tests/test_availability.py
@@ -218,9 +218,10 @@
 
 def test_pool_wakes_at_the_end_of_a_pause_for_a_part_that_waits():
     driver = PoolDriver()
-    answer(driver, send_to_near(driver), REFUSAL, 0.0, pause(0.2))
+    request_part(driver, 1, 0.0, hedge_after_s=2.0)
+    answer(driver, driver.sent[0], REFUSAL, 0.0, pause(0.2))
     for number in range(2, 6):
-        request_part(driver, number, 0.1)
+        request_part(driver, number, 0.1, hedge_after_s=2.0)
     assert driver.pool.queue
     ends_at = driver.pool.view_by_upstream["near"].paused_until
     assert max_wait_s(driver.pool, ends_at - 0.01) <= 0.011
