A suspect is not sent into a pause, and a list reader starts anew after any error

A reading of the list that ended by an error of another kind kept its connection, in the middle of a response.

Change: a pause ends the reservation; any error closes the reader's connection. Evidence: the new test of the suspect failed before. Both were found by reading.

--- a/berylspool/platform/discovery.py
+++ b/berylspool/platform/discovery.py
@@ -97,7 +97,7 @@
                 f"list of upstreams at {self._address} did not answer "
                 f"within {READ_TIMEOUT_S} s"
             ) from error
-        except (ConnectionLostError, ProtocolError):
+        except Exception:
             self._close()
             raise
 
--- a/berylspool/process/control/platform_integration.py
+++ b/berylspool/process/control/platform_integration.py
@@ -102,7 +102,7 @@
             inbox.put(ListingFetched(await reader.read()))
         except BerylspoolError as error:
             log(ListingFailed(str(error)))
-        except Exception as error:  # noqa: BLE001
+        except Exception as error:
             # Whatever a list holds, the next one has to be read.
             log(ListingFailed(repr(error)[:MAX_ERROR_LENGTH]))
         await asyncio.sleep(LIST_POLL_INTERVAL_S)
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -267,6 +267,7 @@
     return (
         view.is_serving
         and not view.is_draining
+        and now >= view.paused_until
         and is_warm(view.slow_start, view.limits, now)
     )
 
--- a/berylspool/version/pool/tests/test_availability.py
+++ b/berylspool/version/pool/tests/test_availability.py
@@ -22,6 +22,7 @@
     Tick,
     UpstreamNotice,
 )
+from berylspool.version.pool.quarantine import Verdict, record_verdict
 from berylspool.version.pool.tests.test_shared_upstreams import (
     FAR,
     NEAR,
@@ -227,6 +228,20 @@
     assert max_wait_s(driver.pool, ends_at - 0.01) <= 0.011
 
 
+def test_suspect_is_not_sent_into_a_pause_of_its_reserved_upstream():
+    tuning = replace(TUNING, isolates_suspects=True)
+    driver = PoolDriver(upstreams=(NEAR,), tuning=tuning)
+    at_work = send_to_near(driver)
+    suspect = make_part(2)
+    record_verdict(
+        driver.pool.verdicts, suspect.fingerprint, Verdict.SUSPECT, 0.0
+    )
+    driver.feed(PartArrived(suspect), 0.0)
+    assert driver.pool.view_by_upstream["near"].reserved_for == suspect.id
+    answer(driver, at_work, REFUSAL, 0.01, pause(PAUSE_S))
+    assert driver.sent == [at_work]
+
+
 def test_another_incarnation_has_no_pause():
     driver = PoolDriver(upstreams=(NEAR,))
     answer(driver, send_to_near(driver), REFUSAL, 0.0, pause(PAUSE_S))
