--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -34,6 +34,7 @@
     "berylspool_plan": "Number of the forwarding plan in force.",
     "berylspool_listing_age_seconds": "Time since the listing changed.",
     "berylspool_listed_upstreams": "Upstreams in the listing.",
+    "berylspool_timer_lag_seconds": "Mean lag of timers under requests.",
     "berylspool_log_lines_dropped": "Log lines that were discarded.",
     "berylspool_hedges_total": "Copies sent beyond the first, by service.",
     "berylspool_grant_age_seconds": "Time since the last grant of a leader.",
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -340,6 +340,7 @@
             "berylspool_listing_age_seconds": self._clock() - state.listed_at,
             "berylspool_grant_age_seconds": self.control.grant_age_s(),
             "berylspool_log_lines_dropped": self.log.dropped,
+            "berylspool_timer_lag_seconds": self._timer_lag.mean_s,
         }
         for name, value in value_by_gauge.items():
             set_gauge(self.metrics, name, value)
