--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -7,6 +7,7 @@
 
 import orjson
 
+from berylspool.common.metric import render_exposition
 from berylspool.platform.document import decode_plan, read_document
 from berylspool.platform.ingress import Ingress
 from berylspool.platform.upstream import PlatformTransport
@@ -560,3 +561,17 @@
     answers = run_scenario([upstream], [route], scenario)
     assert len(upstream.requests) == 1
     assert all(status == 503 and delay > 1.0 for status, delay in answers)
+
+
+def test_metrics_of_an_entry_are_rendered():
+    upstream = FakeUpstream("a", lambda head, body: signed_response(head, b"x"))
+
+    async def scenario(forwarder, port):
+        await send_request(port, "/s/1")
+        forwarder._update_gauges()
+        return render_exposition(forwarder.metrics)[0].decode()
+
+    route = make_route("r", "/s/", service="a")
+    text = run_scenario([upstream], [route], scenario)
+    assert "berylspool_timer_lag_seconds" in text
+    assert 'berylspool_requests_total{outcome="answered",route="r"} 1' in text
