Plainer wording of the pool set and of header names

Cause: read as a newcomer would: a docstring said that each callable gets the key of a pool, and a dictionary with a hook stood for a cached function. Change: the docstring, and functools.cache. No decision changes. Measured: tests of platform and version.

--- a/berylspool/platform/upstream_codec.py
+++ b/berylspool/platform/upstream_codec.py
@@ -1,5 +1,6 @@
 """Encoding of requests to the platform's upstreams, decoding of responses."""
 
+import functools
 from dataclasses import dataclass, field
 
 from berylspool.platform import headers
@@ -54,7 +55,7 @@
 
     def get(self, name: str) -> str:
         """Return the value of a header, or an empty string."""
-        value = self.value_by_name.get(_LOWER_CASE_NAME[name])
+        value = self.value_by_name.get(_lower_case(name))
         return value.decode("latin-1") if value else ""
 
     @property
@@ -67,15 +68,10 @@
         )
 
 
-class _LowerCaseNames(dict[str, bytes]):
-    """Names of headers in lower case as bytes, by the name as written."""
-
-    def __missing__(self, name: str) -> bytes:
-        encoded = self[name] = name.lower().encode("latin-1")
-        return encoded
-
-
-_LOWER_CASE_NAME = _LowerCaseNames()
+@functools.cache
+def _lower_case(name: str) -> bytes:
+    """Return the name of a header as responses are indexed by it."""
+    return name.lower().encode("latin-1")
 
 
 class RequestEncoder:
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -44,14 +44,15 @@
 
 @dataclass(frozen=True, slots=True)
 class PoolListener:
-    """Receives what pools report; each is called with the pool's key.
+    """Receives what pools report.
 
     Attributes:
         on_result: Receives the result of a part.
         on_verdict: Receives a verdict for the other pools.
-        on_borrow: Receives the number of extra copies to ask control for.
-        on_drained: Called once when a closing pool has no parts or attempts
-            left.
+        on_borrow: Receives the key of a pool, and the number of extra copies
+            that it asks control for.
+        on_drained: Called once with the key of a closing pool that has no
+            parts or attempts left.
         on_observed: Receives each reply of an upstream and each outrun copy,
             for metrics and the evaluation of versions.
         log: Receives log events.
