Metrics can be scraped more than once

What operators saw: the first scrape of a process worked, each later one failed with 'A collector for berylspool_requests_total is already registered'.

Cause: a collector without a registry registers itself with the library's global one, where its name is taken from the second rendering on. Change: collectors are made with the registry of their rendering.

The new test renders twice and failed before.

--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -113,22 +113,26 @@
     metric_by_name: dict[str, Counter | Gauge] = {}
     for (name, labels), value in metrics.counter_by_series.items():
         if name not in metric_by_name:
-            metric_by_name[name] = Counter(name, HELP_BY_NAME[name])
+            metric_by_name[name] = Counter(
+                name, HELP_BY_NAME[name], registry=registry
+            )
         metric_by_name[name].set(dict(labels), value)
     for (name, labels), gauge in metrics.gauge_by_series.items():
         if name not in metric_by_name:
-            metric_by_name[name] = Gauge(name, HELP_BY_NAME[name])
+            metric_by_name[name] = Gauge(
+                name, HELP_BY_NAME[name], registry=registry
+            )
         metric_by_name[name].set(dict(labels), gauge)
     name = "berylspool_latency_seconds"
     for route, histogram in metrics.latency_by_route.items():
         if name not in metric_by_name:
-            metric_by_name[name] = Gauge(name, HELP_BY_NAME[name])
+            metric_by_name[name] = Gauge(
+                name, HELP_BY_NAME[name], registry=registry
+            )
         for percentile in PERCENTILES:
             value_us = histogram.get_value_at_percentile(percentile)
             quantile = f"{percentile / 100:g}"
             latency_labels = {"route": route, "quantile": quantile}
             metric_by_name[name].set(latency_labels, value_us / 1e6)
-    for metric in metric_by_name.values():
-        registry.register(metric)
     body, headers = render(registry, ["text/plain"])
     return body, headers["Content-Type"]
