The soak's history, faults and processes have modules of their own

Change: what was observed, the injection of faults, and the processes and proxies of a run are moved out, unchanged.

--- a/berylspool/platform/headers.py
+++ b/berylspool/platform/headers.py
@@ -30,7 +30,7 @@
 NOT_EXECUTED = "X-Not-Executed"
 # `1` if the upstream is about to leave and wants no new requests.
 SERVER_LEAVING = "Server-Leaving"
-# Seconds for which an upstream that refuses wants nothing from this VM.
+# Seconds in which this VM must not send requests to the upstream that refused.
 RETRY_AFTER = "Retry-After"
 # Signatures of all parts of a merged answer.
 PART_STAMPS = "X-Part-Stamps"
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -117,7 +117,7 @@
 
     Attributes:
         is_leaving: Whether it is about to leave and wants no new work.
-        pause_s: Time for which it wants nothing from this entry, in seconds;
+        pause_s: Time in which this entry must not send to it, in seconds;
             None if it does not ask for a pause.
         unusable_pause: Text in place of a pause that states no time.
     """
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -10,7 +10,7 @@
 
 from berylspool.connection.http import HttpConnection, open_http_connection
 from berylspool.exception import ConnectionLostError, ProtocolError
-from soak.checker import (
+from soak.history import (
     CommandSend,
     Evacuation,
     Exchange,
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,48 +7,22 @@
 
 import argparse
 import asyncio
-import contextlib
 import json
 import random
 import shutil
-import signal
 import sys
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
-import yaml
-
-from bench.deployment import Deployment
 from berylspool.process.settings import split_address
-from berylspool.tests.cluster import free_ports
-from soak.callers import (
-    evacuate_zone,
-    read_revision,
-    send_commands,
-    send_queries,
-)
-from soak.checker import Interruption, RunHistory, Violation, find_violations
-from soak.proxy import Impairment, Proxy
-from soak.schedule import (
-    CrashUpstream,
-    EvacuateZone,
-    Fault,
-    FaultTargets,
-    FreezeProcess,
-    ImpairLink,
-    KillProcess,
-    LeaveUpstream,
-    PauseUpstream,
-    RestartProcess,
-    ScheduledFault,
-    make_schedule,
-)
+from soak.callers import read_revision, send_commands, send_queries
+from soak.checker import Violation, find_violations
+from soak.faults import inject_fault
+from soak.schedule import FaultTargets, ScheduledFault, make_schedule
+from soak.soak_run import SoakRun, admin_addresses, prepare_run
 
-EXAMPLE_PATH = Path(__file__).parent.parent / "examples" / "demo.yaml"
 # Seeds that have failed, with the cause; `--regression` runs them again.
 FAILURE_REASON_BY_SEED = {
     7: "the checker took a recorded answer of an earlier send for a stray one",
@@ -61,259 +35,10 @@
 # Time after the schedule in which the last faults end, connections recover and
 # the last answers arrive.
 SETTLE_S = 6.0
-STOP_TIMEOUT_S = 15.0
 SEED_BOUND = 1 << 31
 FAILED_RUNS_FOLDER = "var/soak"
 
 
-@dataclass
-class SoakRun:
-    """State of one soak run.
-
-    Attributes:
-        deployment: Started processes, with the settings of control and
-            stand-ins.
-        proxy_by_link: Proxy of each link, by the link's name.  The name of a
-            link to an upstream is the upstream's id; that of a link from an
-            entry to a control node is `ENTRY>CONTROL`.
-        zone_by_upstream: Zone of each upstream.
-        slots_by_upstream: Maximum number of concurrent parts of each upstream
-            when warm.
-        history: History of the run.
-        faulted_names: Processes and zones with a fault in progress; further
-            faults of these are skipped.
-    """
-
-    deployment: Deployment
-    proxy_by_link: dict[str, Proxy] = field(default_factory=dict)
-    zone_by_upstream: dict[str, str] = field(default_factory=dict)
-    slots_by_upstream: dict[str, int] = field(default_factory=dict)
-    history: RunHistory = field(default_factory=RunHistory)
-    faulted_names: set[str] = field(default_factory=set)
-
-    @property
-    def settings(self) -> dict[str, Any]:
-        """Settings with the addresses of the processes, not of the proxies."""
-        return self.deployment.settings
-
-    def entry_settings_path(self, entry: str) -> Path:
-        """Return the settings file of an entry, with addresses of proxies."""
-        return self.deployment.folder / f"{entry}.yaml"
-
-    def start(self, name: str) -> None:
-        """Start an entry or a control node."""
-        if name in self.settings["entries"]:
-            self.history.entry_start_count += 1
-            path = self.entry_settings_path(name)
-            self.deployment.start("entry", name, "--name", name, settings=path)
-        else:
-            self.deployment.start_control(name)
-
-
-def assign_free_ports(
-    settings: dict[str, Any], extra_port_count: int
-) -> tuple[dict[str, Any], list[int]]:
-    """Replace the addresses in settings by free loopback ports.
-
-    All ports are reserved in one call, because the kernel may return a port
-    that is not open yet a second time.
-
-    Args:
-        settings: Settings with any loopback addresses.
-        extra_port_count: Number of further ports to reserve.
-
-    Returns:
-        The settings, and the further ports.
-    """
-    text = json.dumps(settings)
-    addresses = sorted(
-        set(_loopback_addresses(settings)), key=len, reverse=True
-    )
-    ports = free_ports(len(addresses) + extra_port_count)
-    for address, port in zip(addresses, ports, strict=False):
-        text = text.replace(f'"{address}"', f'"127.0.0.1:{port}"')
-    return json.loads(text), ports[len(addresses) :]
-
-
-def _loopback_addresses(node: Any) -> list[str]:
-    if isinstance(node, dict):
-        return [
-            address
-            for value in node.values()
-            for address in _loopback_addresses(value)
-        ]
-    is_address = isinstance(node, str) and node.startswith("127.0.0.1:")
-    return [node] if is_address else []
-
-
-def _upstream_settings(
-    settings: dict[str, Any],
-) -> list[tuple[str, dict[str, Any]]]:
-    return [
-        (name, upstream)
-        for service in settings["initial"]["services"].values()
-        for name, upstream in service["upstreams"].items()
-    ]
-
-
-async def prepare_run(folder: Path) -> SoakRun:
-    """Write settings files with free ports, and start the proxies.
-
-    Each upstream has one proxy, which all entries share.  Each entry has a
-    proxy of its own to each control node.
-
-    Args:
-        folder: Folder for the settings, data and logs of the run.
-
-    Returns:
-        The run, with its proxies started and its processes not.
-    """
-    settings = yaml.safe_load(EXAMPLE_PATH.read_text())
-    link_count = len(settings["entries"]) * len(settings["controls"])
-    count = len(_upstream_settings(settings)) + link_count
-    settings, ports = assign_free_ports(settings, count)
-    settings["log"] = {"path": "-", "decisions": False}
-    soak_run = SoakRun(Deployment(folder, settings))
-    soak_run.deployment.settings_path.write_text(yaml.safe_dump(settings))
-    proxied_settings = json.loads(json.dumps(settings))
-    for name, upstream in _upstream_settings(proxied_settings):
-        soak_run.zone_by_upstream[name] = upstream["zone"]
-        address = upstream["address"]
-        upstream["address"] = await _start_proxy(
-            soak_run, name, address, ports.pop()
-        )
-    for service in settings["initial"]["services"].values():
-        for name in service["upstreams"]:
-            soak_run.slots_by_upstream[name] = service["limits"]["slots"]
-    # Control distributes the upstreams to entries, so its settings hold the
-    # addresses of the proxies.
-    control_settings = json.loads(json.dumps(settings))
-    control_settings["initial"] = proxied_settings["initial"]
-    soak_run.deployment.settings_path.write_text(
-        yaml.safe_dump(control_settings)
-    )
-    (folder / "standin.yaml").write_text(yaml.safe_dump(settings))
-    for entry in settings["entries"]:
-        entry_settings = json.loads(json.dumps(control_settings))
-        for name, node in entry_settings["controls"].items():
-            link = f"{entry}>{name}"
-            address = node["address"]
-            node["address"] = await _start_proxy(
-                soak_run, link, address, ports.pop()
-            )
-        soak_run.entry_settings_path(entry).write_text(
-            yaml.safe_dump(entry_settings)
-        )
-    return soak_run
-
-
-async def _start_proxy(
-    soak_run: SoakRun, link: str, address: str, port: int
-) -> str:
-    proxy = Proxy(split_address(address))
-    await proxy.start(port)
-    soak_run.proxy_by_link[link] = proxy
-    return f"127.0.0.1:{port}"
-
-
-async def inject_fault(
-    soak_run: SoakRun, fault: Fault, rng: random.Random
-) -> None:
-    """Inject one fault and wait until it ends."""
-    match fault:
-        case (
-            KillProcess(name=name)
-            | RestartProcess(name=name)
-            | FreezeProcess(name=name)
-        ):
-            if name in soak_run.faulted_names:
-                return
-            soak_run.faulted_names.add(name)
-            is_planned = isinstance(fault, RestartProcess)
-            interruption = Interruption(name, time.monotonic(), is_planned)
-            soak_run.history.interruptions.append(interruption)
-            try:
-                await _inject_process_fault(soak_run, fault)
-            finally:
-                soak_run.faulted_names.discard(name)
-        case CrashUpstream(name=name):
-            await _set_upstream_fault(soak_run, name, {"crash": True})
-        case PauseUpstream(name=name, duration_s=duration_s):
-            changes = {"pause_s": duration_s}
-            await _set_upstream_fault(soak_run, name, changes)
-        case LeaveUpstream(name=name, duration_s=duration_s):
-            await _set_upstream_fault(soak_run, name, {"is_leaving": True})
-            await asyncio.sleep(duration_s)
-            await _set_upstream_fault(soak_run, name, {"crash": True})
-        case ImpairLink(
-            name=name, impairment=impairment, duration_s=duration_s
-        ):
-            proxy = soak_run.proxy_by_link[name]
-            proxy.set_impairment(impairment)
-            await asyncio.sleep(duration_s)
-            proxy.set_impairment(Impairment.NONE)
-        case EvacuateZone(zone=zone, duration_s=duration_s):
-            if zone in soak_run.faulted_names:
-                return
-            soak_run.faulted_names.add(zone)
-            try:
-                admin_addresses = _admin_addresses(soak_run)
-                await evacuate_zone(
-                    soak_run.history, admin_addresses, zone, duration_s, rng
-                )
-            finally:
-                soak_run.faulted_names.discard(zone)
-
-
-async def _inject_process_fault(
-    soak_run: SoakRun, fault: KillProcess | RestartProcess | FreezeProcess
-) -> None:
-    deployment, name = soak_run.deployment, fault.name
-    match fault:
-        case KillProcess(duration_s=duration_s):
-            deployment.kill(name)
-            await asyncio.sleep(duration_s)
-            soak_run.start(name)
-        case FreezeProcess(duration_s=duration_s):
-            deployment.signal(name, signal.SIGSTOP)
-            await asyncio.sleep(duration_s)
-            deployment.signal(name, signal.SIGCONT)
-        case RestartProcess():
-            deployment.signal(name, signal.SIGTERM)
-            process = deployment.process_by_name.pop(name)
-            end_at = time.monotonic() + STOP_TIMEOUT_S
-            while process.poll() is None and time.monotonic() < end_at:
-                await asyncio.sleep(0.05)
-            if process.poll() is None:
-                process.kill()
-                process.wait()
-            soak_run.start(name)
-
-
-async def _set_upstream_fault(
-    soak_run: SoakRun, name: str, changes: dict[str, Any]
-) -> None:
-    """Set faults of a stand-in by a request to its port, not to its proxy."""
-    host, port = soak_run.proxy_by_link[name].target
-    with contextlib.suppress(OSError):
-        _, writer = await asyncio.open_connection(host, port)
-        data = json.dumps(changes).encode()
-        head = "POST /standin/fault HTTP/1.1\r\nHost: soak\r\n"
-        length = f"Content-Length: {len(data)}\r\n\r\n"
-        writer.write((head + length).encode() + data)
-        await writer.drain()
-        await asyncio.sleep(0.05)
-        writer.close()
-
-
-def _admin_addresses(soak_run: SoakRun) -> list[tuple[str, int]]:
-    controls = soak_run.settings["controls"].values()
-    return [
-        split_address(control_settings["admin_address"])
-        for control_settings in controls
-    ]
-
-
 async def run_schedule(
     soak_run: SoakRun, seed: int, length_s: float
 ) -> list[Violation]:
@@ -372,7 +97,7 @@
         )
     await asyncio.gather(*fault_tasks)
     await asyncio.gather(*caller_tasks)
-    await read_revision(history, _admin_addresses(soak_run), rng)
+    await read_revision(history, admin_addresses(soak_run), rng)
     history.records = list(_read_records(soak_run))
     return find_violations(history)
 
--- a/soak/tests/test_checker.py
+++ b/soak/tests/test_checker.py
@@ -4,15 +4,14 @@
 
 import pytest
 
-from soak.checker import (
-    INVARIANTS,
+from soak.checker import INVARIANTS, find_violations
+from soak.history import (
     CommandSend,
     Evacuation,
     Exchange,
     Interruption,
     RunHistory,
     TimedRevision,
-    find_violations,
 )
 
 REQUEST_ID = "e1.x.1"
