Links to peers that start are opened by further attempts

Cause: an opening packet to a VM that is still down is dropped, and the kernel sends it again only after a second.

Backoffs are spread.

--- a/berylspool/connection/peer.py
+++ b/berylspool/connection/peer.py
@@ -1,15 +1,16 @@
 """Links between berylspool processes, with one task for each stream."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
 from berylspool.common.frame import HEADER_BYTES, Codec, frame_length
 from berylspool.common.mailbox import Mailbox
+from berylspool.connection.dialing import open_stream
 from berylspool.connection.message import (
     PROTOCOL_VERSION,
     Hello,
@@ -20,11 +21,12 @@
 
 __all__ = ["Link", "LinkServer", "Session"]
 
-CONNECT_TIMEOUT_S = 1.0
 INITIAL_BACKOFF_S = 0.05
 # Short, so that the link to a restarted peer reopens at once; a refused
 # connection costs little, and there are few control nodes.
 MAX_BACKOFF_S = 0.25
+# Spreads the attempts of processes that have lost the same peer.
+BACKOFF_JITTER = 0.5
 PING_INTERVAL_S = 0.5
 RECEIVE_TIMEOUT_S = 1.5
 MAX_MESSAGES_PER_FRAME = 256
@@ -122,9 +124,7 @@
         while True:
             stream: IOStream | None = None
             try:
-                stream = await TCPClient().connect(
-                    self._host, self._port, timeout=CONNECT_TIMEOUT_S
-                )
+                stream = await open_stream(self._host, self._port)
                 stream.set_nodelay(True)
                 await stream.write(self._codec.encode([Hello(self._name)]))
                 self._on_open()
@@ -137,7 +137,8 @@
                     stream.close()
             self.inbox.clear()
             self._on_close()
-            await asyncio.sleep(backoff_s)
+            jitter = random.uniform(1.0 - BACKOFF_JITTER, 1.0)
+            await asyncio.sleep(backoff_s * jitter)
             backoff_s = min(backoff_s * 2, MAX_BACKOFF_S)
 
 
