A pre-vote is repeated soon, until a quorum can be reached

Cause: after a common restart the moment at which most voters can be reached, and may vote, falls anywhere into a node's election time-out; a pre-vote that came a little earlier was repeated only a whole time-out later.

Change: a pre-candidate repeats its pre-vote after one to two heartbeat intervals; a node that grants one puts off its own election once. Votes, terms and the silence after a start are as before.

--- a/berylspool/process/group/election.py
+++ b/berylspool/process/group/election.py
@@ -44,12 +44,17 @@
 def start_pre_vote(node: Node, now: float) -> list[ConsensusAction]:
     """Start a pre-vote, so that the term rises only if a vote can be won.
 
-    A node whose pre-vote alone is a quorum starts the vote at once.
+    A node whose pre-vote alone is a quorum starts the vote at once. Any other
+    one repeats it soon: after a common restart, most voters can be reached, and
+    may vote, at some moment that none of them knows in advance.
     """
     node.role = Role.PRE_CANDIDATE
     node.leader = ""
     node.votes = {node.id}
-    reset_election_timer(node, now)
+    node.election_due_at = now + node.timing.heartbeat_interval_s * (
+        1.0 + node.jitter
+    )
+    node.has_deferred_election = False
     if is_quorum(node, node.votes):
         return _start_election(node, now)
     message = PreVote(node.term + 1, last_log_index(node), last_log_term(node))
@@ -120,12 +125,21 @@
 def on_pre_vote(
     node: Node, sender: str, message: PreVote, now: float
 ) -> list[ConsensusAction]:
-    """Answer a pre-vote request; the state of the node does not change."""
+    """Answer a pre-vote request.
+
+    A node that grants it puts off an election of its own, because two at once
+    may divide the votes; it does so once, as the sender may get no replies.
+    """
     is_granted = (
         message.term > node.term
         and not _has_active_leader(node, now)
         and is_log_up_to_date(node, message.last_term, message.last_index)
     )
+    if is_granted and not node.has_deferred_election:
+        node.has_deferred_election = True
+        node.election_due_at = max(
+            node.election_due_at, now + 2 * node.timing.heartbeat_interval_s
+        )
     reply = PreVoteReply(message.term if is_granted else node.term, is_granted)
     return [SendMessage(sender, reply)]
 
--- a/berylspool/process/group/node.py
+++ b/berylspool/process/group/node.py
@@ -101,6 +101,8 @@
         votes: Ids of the voters that granted a vote or a pre-vote.
         leader_heard_at: Time of the last message from a leader.
         election_due_at: Time at which the next election starts.
+        has_deferred_election: Whether it was put off for another node's since
+            the timer was last set.
         heartbeat_due_at: Time at which a leader sends the next heartbeat.
         heartbeat_round: Number of the newest heartbeat round.
         start_by_round: Start time of each heartbeat round that a quorum has
@@ -124,6 +126,7 @@
     votes: set[str] = field(default_factory=set)
     leader_heard_at: float = float("-inf")
     election_due_at: float = 0.0
+    has_deferred_election: bool = False
     heartbeat_due_at: float = 0.0
     heartbeat_round: int = 0
     start_by_round: dict[int, float] = field(default_factory=dict)
@@ -253,6 +256,7 @@
         timing.election_timeout_s + timing.election_jitter_s * node.jitter
     )
     node.election_due_at = now + timeout_s
+    node.has_deferred_election = False
 
 
 def become_follower(
--- a/berylspool/process/group/replica.py
+++ b/berylspool/process/group/replica.py
@@ -171,6 +171,10 @@
         """Whether this node has the role of leader."""
         return self.node.role is consensus.Role.LEADER
 
+    def now(self) -> float:
+        """Return the monotonic time in seconds by which the replica decides."""
+        return self._clock()
+
     def has_quorum_contact(self) -> bool:
         """Return whether this node is a leader whose state is the newest.
 
@@ -189,6 +193,7 @@
         return {
             "berylspool_term": self.node.term,
             "berylspool_leader": float(self.is_leader),
+            "berylspool_quorum_contact": float(self.has_quorum_contact()),
             "berylspool_commit_index": self.node.commit_index,
             "berylspool_members": len(self.state.active.member_by_name),
             "berylspool_configuration_revision": (
--- a/berylspool/process/group/tests/test_consensus.py
+++ b/berylspool/process/group/tests/test_consensus.py
@@ -4,6 +4,8 @@
 that guards the rule must fail on it.
 """
 
+import random
+
 import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
@@ -79,6 +81,86 @@
     assert node.term == 1
 
 
+def restarted_nodes(jitter):
+    """Return a group of five nodes that have restarted together."""
+    snapshot = Snapshot(0, 0, Group(NAMES))
+    timing = ConsensusTiming(0.05, 0.25, 0.25)
+    return {
+        name: consensus.recover_node(
+            name, timing, 3, "", snapshot, [], 0.0, jitter.random()
+        )
+        for name in NAMES
+    }
+
+
+def run_until_leader(node_by_name, jitter, is_linked, latency_ticks=1):
+    """Tick all nodes each 2 ms; return the time of the first leader.
+
+    Args:
+        node_by_name: The nodes.
+        jitter: Random source of their election time-outs.
+        is_linked: Whether a message from one node reaches another at a time.
+        latency_ticks: Ticks until a message arrives.
+    """
+    in_transit = []
+    for tick in range(1500):
+        now = tick / 500
+        due = [m for m in in_transit if m[0] <= tick]
+        in_transit = [m for m in in_transit if m[0] > tick]
+        events = [
+            (peer, MessageReceived(sender, message))
+            for _, sender, peer, message in due
+        ]
+        events += [(name, Tick()) for name in node_by_name]
+        for name, event in events:
+            node = node_by_name[name]
+            node.jitter = jitter.random()
+            for action in step(node, event, now):
+                if isinstance(action, SendMessage) and is_linked(
+                    name, action.peer, now
+                ):
+                    in_transit.append(
+                        (
+                            tick + latency_ticks,
+                            name,
+                            action.peer,
+                            action.message,
+                        )
+                    )
+        if any(n.role is Role.LEADER for n in node_by_name.values()):
+            return now
+    return None
+
+
+def test_leader_is_elected_soon_after_a_quorum_can_be_reached():
+    """Links of a restarted group open at times that no time-out fits."""
+    delays = []
+    for seed in range(200):
+        jitter = random.Random(seed)
+        linked_at = 0.3 + 0.4 * jitter.random()
+        elected_at = run_until_leader(
+            restarted_nodes(jitter),
+            jitter,
+            lambda a, b, now, at=linked_at: now >= at,
+        )
+        assert elected_at is not None
+        delays.append(elected_at - linked_at)
+    delays.sort()
+    assert delays[100] < 0.05
+    assert delays[190] < 0.1
+
+
+def test_pre_candidate_that_hears_no_replies_does_not_block_elections():
+    for seed in range(50):
+        jitter = random.Random(seed)
+        elected_at = run_until_leader(
+            restarted_nodes(jitter),
+            jitter,
+            lambda a, b, now: b != "a",
+        )
+        assert elected_at is not None and elected_at < 2.0
+
+
 def test_vote_is_saved_before_it_is_sent():
     node = make_node()
     actions = step(node, MessageReceived("b", Vote(1, 0, 0)), 5.0)
