Entries get each update once, as a difference, encoded and compressed once

Cause: bytes between zones.

Change: the leader remembers what it has sent on a session, and sends the missing differences of listing, tables and configuration from there, as one packed message that entries with the same state share. An entry reports all changes that came together in one heartbeat. Entries that wait for a leader are granted their lease when there is one. Entries of an older build get plain messages.

--- a/berylspool/common/frame.py
+++ b/berylspool/common/frame.py
@@ -8,7 +8,9 @@
 
 import dataclasses
 import struct
+import zlib
 from collections.abc import Iterable
+from dataclasses import dataclass
 from typing import Any
 
 import msgpack
@@ -16,16 +18,30 @@
 
 from berylspool.exception import FrameError, FrameTooLargeError
 
-__all__ = ["HEADER_BYTES", "MAX_FRAME_BYTES", "Codec"]
+__all__ = ["HEADER_BYTES", "MAX_FRAME_BYTES", "Codec", "Packed"]
 
 HEADER_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 LENGTH_PREFIX = struct.Struct(">I")
+PACKED_TAG = "Packed"
+
+
+@dataclass(frozen=True, slots=True)
+class Packed:
+    """Messages that are encoded and compressed once, for any number of peers.
+
+    Attributes:
+        body: Compressed body of a frame with the messages.
+    """
+
+    body: bytes
 
 
 class Codec:
     """Encodes and decodes messages of a fixed set of data classes.
 
+    The messages in a `Packed` are decoded as if they had been sent one by one.
+
     Args:
         classes: Data classes of the messages, each with a unique name.
 
@@ -57,6 +73,14 @@
             )
         return LENGTH_PREFIX.pack(len(body)) + body
 
+    def pack(self, messages: Iterable[Any]) -> Packed:
+        """Encode and compress messages that are sent to several peers.
+
+        Raises:
+            FrameTooLargeError: The encoded messages exceed `MAX_FRAME_BYTES`.
+        """
+        return Packed(zlib.compress(self.encode(messages)[HEADER_BYTES:]))
+
     def decode(self, body: bytes) -> list[Any]:
         """Decode the body of a frame.
 
@@ -70,17 +94,26 @@
             FrameError: The body is not msgpack, a tag is unknown, or a
                 field is missing or of the wrong type.
         """
+        return self._decode_items(body, may_be_packed=True)
+
+    def _decode_items(self, body: bytes, *, may_be_packed: bool) -> list[Any]:
+        messages: list[Any] = []
         try:
             items = msgpack.unpackb(body, strict_map_key=False)
-            return [
-                self._adapter(tag).validate_python(fields)
-                for tag, fields in items
-            ]
+            for tag, fields in items:
+                if tag == PACKED_TAG and may_be_packed:
+                    inner_body = _decompress(fields["body"])
+                    messages += self._decode_items(
+                        inner_body, may_be_packed=False
+                    )
+                else:
+                    messages.append(self._adapter(tag).validate_python(fields))
+            return messages
         except ValidationError as error:
             raise FrameError(f"invalid message: {error}") from error
         except (ValueError, TypeError, KeyError) as error:
             raise FrameError(f"malformed frame: {error!r}") from error
-        except msgpack.UnpackException as error:
+        except (msgpack.UnpackException, zlib.error) as error:
             raise FrameError(f"malformed frame: {error!r}") from error
 
     def _adapter(self, tag: str) -> TypeAdapter[Any]:
@@ -96,6 +129,22 @@
         return adapter
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompress the body of a `Packed`.
+
+    Raises:
+        FrameError: The data ends early, or holds more than `MAX_FRAME_BYTES`.
+        zlib.error: The data is not compressed.
+    """
+    decompressor = zlib.decompressobj()
+    body = decompressor.decompress(data, MAX_FRAME_BYTES)
+    if not decompressor.eof:
+        raise FrameError(
+            f"packed messages are cut or exceed {MAX_FRAME_BYTES} bytes"
+        )
+    return body
+
+
 def frame_length(header: bytes) -> int:
     """Return the body length in bytes that a frame header declares.
 
--- a/berylspool/common/tests/test_frame.py
+++ b/berylspool/common/tests/test_frame.py
@@ -1,13 +1,19 @@
 """Property tests of the frame codec."""
 
 import contextlib
+import zlib
 
 import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylspool.common.frame import HEADER_BYTES, frame_length
+from berylspool.common.frame import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    Packed,
+    frame_length,
+)
 from berylspool.connection.message import (
     AskPart,
     DropPart,
@@ -87,3 +93,38 @@
 def test_frame_length_rejects_oversized_frame():
     with pytest.raises(FrameTooLargeError):
         frame_length(b"\xff\xff\xff\xff")
+
+
+@given(st.lists(MESSAGE, max_size=5))
+def test_packed_messages_decode_in_their_place(messages):
+    first, last = Hello("first"), Hello("last")
+    frame = CODEC.encode([first, CODEC.pack(messages), last])
+    assert CODEC.decode(frame[HEADER_BYTES:]) == [first, *messages, last]
+
+
+@given(data=st.data())
+def test_damaged_packed_messages_are_frame_errors(data):
+    body = bytearray(CODEC.pack([Hello("first")] * 20).body)
+    cut = data.draw(st.integers(0, len(body) - 1))
+    damaged = data.draw(st.sampled_from([bytes(body[:cut]), b"", b"\0" * 9]))
+    frame = CODEC.encode([Packed(damaged)])
+    with pytest.raises(FrameError):
+        CODEC.decode(frame[HEADER_BYTES:])
+
+
+@pytest.mark.parametrize("fields", [{}, {"body": "text"}, {"body": 3}, [], 7])
+def test_odd_fields_of_packed_messages_are_frame_errors(fields):
+    with pytest.raises(FrameError):
+        CODEC.decode(msgpack.packb([["Packed", fields]]))
+
+
+def test_packed_messages_that_expand_without_bound_are_refused():
+    body = zlib.compress(bytes(MAX_FRAME_BYTES + 1))
+    with pytest.raises(FrameError):
+        CODEC.decode(CODEC.encode([Packed(body)])[HEADER_BYTES:])
+
+
+def test_packed_messages_are_not_nested():
+    nested = CODEC.pack([CODEC.pack([Hello("first")])])
+    with pytest.raises(FrameError):
+        CODEC.decode(CODEC.encode([nested])[HEADER_BYTES:])
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -93,6 +93,7 @@
         convicted: Fingerprints of requests that the entry no longer sends
             because they crash upstreams.
         wanted: Copies that pools of the entry ask for.
+        accepts_packed: Whether the entry accepts `Packed` messages.
     """
 
     member: Member
@@ -107,6 +108,7 @@
     listing_serial: int = 0
     convicted: tuple[str, ...] = ()
     wanted: tuple[ExtraCopies, ...] = ()
+    accepts_packed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -1,8 +1,10 @@
 """Updates that a control node sends to entries that are out of date."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from berylspool.common.event import MembersChanged
+from berylspool.common.frame import Codec, Packed
 from berylspool.connection.control_message import (
     ConfigurationSent,
     DeltaSent,
@@ -13,6 +15,7 @@
     ListingSent,
     TableDelta,
     TableSent,
+    make_control_codec,
 )
 from berylspool.connection.message import MemberTable
 from berylspool.process.control.membership import (
@@ -26,28 +29,54 @@
 
 __all__ = [
     "DistributionState",
+    "EntryState",
     "add_delta",
     "add_table",
     "configuration_update",
-    "heartbeat_answers",
+    "entry_updates",
     "heartbeat_event",
+    "listing_update",
+    "make_grant",
     "members_changed_event",
+    "newest_state",
     "record_convicted",
     "replace_listing",
+    "reported_state",
     "table_update",
 ]
 
-HeartbeatAnswer = (
-    ConfigurationSent | DeltaSent | TableDelta | TableSent | ListingSent | Grant
+EntryUpdate = (
+    ConfigurationSent
+    | DeltaSent
+    | TableDelta
+    | TableSent
+    | ListingSent
+    | ListingDelta
 )
 
 MAX_DELTAS = 500
 MAX_TABLES = 50
+MAX_LISTING_DELTAS = 50
 # Each heartbeat repeats the fingerprints that its entry has convicted, so a
 # fingerprint that has not been repeated for this long is convicted nowhere.
 CONVICTION_EXPIRY_S = 10.0
 
 
+@dataclass(frozen=True, slots=True)
+class EntryState:
+    """Versions of the state that an entry holds.
+
+    Attributes:
+        revision: Revision of its configuration.
+        table_epoch: Epoch of its member table.
+        listing: Epoch and serial of its listing.
+    """
+
+    revision: int = 0
+    table_epoch: int = 0
+    listing: tuple[int, int] = (0, 0)
+
+
 @dataclass(slots=True)
 class DistributionState:
     """Recent changes, and what entries have reported in heartbeats.
@@ -59,6 +88,11 @@
         deltas: Recent changes of the configuration, oldest first.
         table_by_epoch: Recent member tables.
         listing: Newest listing of upstreams; serial 0 before the first.
+        listing_deltas: Recent changes of the listing within its epoch, oldest
+            first.
+        codec: Codec of the links to entries.
+        packed_by_states: Packed updates by the state that they start from and
+            the state that they lead to.
         convicted_at_by_fingerprint: Time at which an entry last reported the
             fingerprint as convicted, in monotonic seconds.
     """
@@ -66,6 +100,11 @@
     deltas: list[DeltaSent] = field(default_factory=list)
     table_by_epoch: dict[int, MemberTable] = field(default_factory=dict)
     listing: Listing = Listing()
+    listing_deltas: list[ListingDelta] = field(default_factory=list)
+    codec: Codec = field(default_factory=make_control_codec)
+    packed_by_states: dict[tuple[EntryState, EntryState], Packed] = field(
+        default_factory=dict
+    )
     convicted_at_by_fingerprint: dict[str, float] = field(default_factory=dict)
 
 
@@ -87,29 +126,61 @@
     distribution: DistributionState,
     epoch: int,
     listed_by_id: dict[str, ListedUpstream],
-) -> ListingSent | ListingDelta | None:
-    """Replace the listing by a newer one from the platform.
+) -> None:
+    """Replace the listing by a newer one from the platform, if it differs.
 
     Args:
         distribution: State to change in place.
         epoch: Term of the leader that read the listing.
         listed_by_id: Listed upstreams by id.
-
-    Returns:
-        The update to send to all entries, or None if nothing has changed.
     """
     before = distribution.listing
     if before.epoch != epoch or not before.serial:
         distribution.listing = Listing(epoch, 1, listed_by_id)
-        return ListingSent(distribution.listing)
+        distribution.listing_deltas.clear()
+        return
     changed, removed_ids = listings.listing_difference(
         before.listed_by_id, listed_by_id
     )
     if not changed and not removed_ids:
-        return None
+        return
     serial = before.serial + 1
     distribution.listing = Listing(epoch, serial, listed_by_id)
-    return ListingDelta(epoch, serial, changed, removed_ids)
+    distribution.listing_deltas.append(
+        ListingDelta(epoch, serial, changed, removed_ids)
+    )
+    del distribution.listing_deltas[:-MAX_LISTING_DELTAS]
+
+
+def listing_update(
+    distribution: DistributionState, entry_listing: tuple[int, int]
+) -> Sequence[ListingDelta | ListingSent]:
+    """Return the messages that bring an entry to the newest listing.
+
+    Args:
+        distribution: Newest listing and its recent changes.
+        entry_listing: Epoch and serial of the entry's listing.
+
+    Returns:
+        The changes that the entry lacks, or the whole listing if some of them
+        are no longer kept or together they are larger.
+    """
+    newest = distribution.listing
+    if not newest.serial or entry_listing == (newest.epoch, newest.serial):
+        return ()
+    epoch, serial = entry_listing
+    missing = [
+        delta for delta in distribution.listing_deltas if delta.serial > serial
+    ]
+    size = sum(len(delta.changed) for delta in missing)
+    if (
+        epoch == newest.epoch
+        and missing
+        and missing[0].serial == serial + 1
+        and size <= len(newest.listed_by_id)
+    ):
+        return missing
+    return (ListingSent(newest),)
 
 
 def members_changed_event(table: MemberTable) -> MembersChanged:
@@ -190,47 +261,101 @@
     )
 
 
-def heartbeat_answers(
+def reported_state(heartbeat: Heartbeat) -> EntryState:
+    """Return the state that an entry reports in a heartbeat."""
+    return EntryState(
+        heartbeat.revision,
+        heartbeat.table_epoch,
+        (heartbeat.listing_epoch, heartbeat.listing_serial),
+    )
+
+
+def newest_state(
+    distribution: DistributionState, state: ControlState
+) -> EntryState:
+    """Return the state of an entry that is up to date.
+
+    Args:
+        distribution: Newest listing.
+        state: Replicated state.
+    """
+    table = state.proposed or state.active
+    listing = distribution.listing
+    return EntryState(
+        state.configuration.revision,
+        table.epoch,
+        (listing.epoch, listing.serial),
+    )
+
+
+def entry_updates(
+    distribution: DistributionState,
+    entry_state: EntryState,
+    state: ControlState,
+    *,
+    accepts_packed: bool,
+) -> Sequence[EntryUpdate | Packed]:
+    """Return the messages that bring an entry to the newest state.
+
+    Entries that lack the same changes get the same packed message, which is
+    encoded once.
+
+    Args:
+        distribution: Recent changes.
+        entry_state: What the entry has, or will have once it has read all that
+            was sent.
+        state: Replicated state.
+        accepts_packed: Whether the entry accepts packed messages.
+    """
+    newest = newest_state(distribution, state)
+    key = (entry_state, newest)
+    if accepts_packed and key in distribution.packed_by_states:
+        return (distribution.packed_by_states[key],)
+    updates: list[EntryUpdate] = []
+    if entry_state.revision != newest.revision:
+        updates += configuration_update(
+            distribution, entry_state.revision, state.configuration
+        )
+    if entry_state.table_epoch != newest.table_epoch:
+        table = state.proposed or state.active
+        updates.append(
+            table_update(distribution, entry_state.table_epoch, table)
+        )
+    updates += listing_update(distribution, entry_state.listing)
+    if not updates or not accepts_packed:
+        return updates
+    if any(to != newest for _, to in distribution.packed_by_states):
+        distribution.packed_by_states.clear()
+    packed = distribution.codec.pack(updates)
+    distribution.packed_by_states[key] = packed
+    return (packed,)
+
+
+def make_grant(
     distribution: DistributionState,
     heartbeat: Heartbeat,
     state: ControlState,
     lease_s: float,
     voter_names: tuple[str, ...] = (),
     lent: tuple[ExtraCopies, ...] = (),
-) -> list[HeartbeatAnswer]:
-    """Return the answers of a leader with a quorum to a heartbeat.
+) -> Grant:
+    """Return the grant with which a leader with a quorum answers a heartbeat.
 
     Args:
-        distribution: Recent changes and reports.
+        distribution: Reports of entries.
         heartbeat: Heartbeat of an entry.
         state: Replicated state.
         lease_s: Length of a lease in seconds.
         voter_names: Names of the control nodes that vote.
         lent: Copies lent to the entry.
-
-    Returns:
-        The updates that the entry lacks, followed by the lease.
     """
-    newest = state.configuration
-    table = state.proposed or state.active
-    answers: list[HeartbeatAnswer] = []
-    if heartbeat.revision != newest.revision:
-        answers += configuration_update(
-            distribution, heartbeat.revision, newest
-        )
-    if heartbeat.table_epoch != table.epoch:
-        answers.append(table_update(distribution, heartbeat.table_epoch, table))
-    listing = distribution.listing
-    entry_listing = (heartbeat.listing_epoch, heartbeat.listing_serial)
-    if listing.serial and entry_listing != (listing.epoch, listing.serial):
-        answers.append(ListingSent(listing))
-    grant = Grant(
+    newest = newest_state(distribution, state)
+    return Grant(
         heartbeat.sent_at,
         lease_s,
         newest.revision,
-        table.epoch,
+        newest.table_epoch,
         voter_names,
         tuple(distribution.convicted_at_by_fingerprint),
         lent,
     )
-    return [*answers, grant]
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -1,6 +1,6 @@
 """Sessions of the entries that are connected to a control node."""
 
-from typing import Any
+from dataclasses import dataclass
 
 from berylspool.connection.control_message import (
     DeltaSent,
@@ -12,11 +12,15 @@
 from berylspool.process.control.copy_lending import CopyLending, lend_copies
 from berylspool.process.control.distribution import (
     DistributionState,
+    EntryState,
     add_delta,
     add_table,
-    heartbeat_answers,
+    entry_updates,
+    make_grant,
+    newest_state,
     record_convicted,
     replace_listing,
+    reported_state,
 )
 from berylspool.process.group.reconfiguration import node_name_from_id
 from berylspool.process.group.replica import Replica
@@ -25,6 +29,31 @@
 
 __all__ = ["EntrySessions"]
 
+# Several round trips and heartbeats. An entry that still lacks an update after
+# this time could not apply it, and gets what it lacks by its own report.
+RESEND_AFTER_S = 1.0
+
+
+@dataclass(slots=True)
+class EntrySession:
+    """What this node knows of the entry at the other end of a session.
+
+    Attributes:
+        session: The session.
+        heartbeat: Newest heartbeat of the entry.
+        state: State that the entry has, or will have once it has read all
+            that was sent on this session.
+        sent_at: Time of the newest update, in monotonic seconds.
+        awaits_leader: Whether the heartbeat was refused because this node did
+            not lead.
+    """
+
+    session: Session
+    heartbeat: Heartbeat
+    state: EntryState
+    sent_at: float = float("-inf")
+    awaits_leader: bool = False
+
 
 class EntrySessions:
     """Answers heartbeats of entries and sends them updates.
@@ -40,57 +69,107 @@
         self._routing = settings.routing
         self._lending: CopyLending | None = None
         self._distribution = DistributionState()
-        self._session_by_id: dict[str, Session] = {}
+        self._entry_by_session_id: dict[str, EntrySession] = {}
+        # State that all entries with a lease have, or have been sent.
+        self._pushed_state = EntryState()
 
     def answer_heartbeat(
         self, session: Session, heartbeat: Heartbeat, now: float
     ) -> None:
         """Answer a heartbeat; only a leader with a quorum grants a lease."""
-        self._session_by_id[session.id] = session
+        entry = self._record_heartbeat(session, heartbeat, now)
         record_convicted(self._distribution, heartbeat.convicted, now)
         if not self._replica.has_quorum_contact():
             self._lending = None
+            entry.awaits_leader = True
+            self._pushed_state = EntryState()
             session.inbox.put(NotLeader(self._replica.leader))
             return
+        self._grant(entry, now)
+
+    def _record_heartbeat(
+        self, session: Session, heartbeat: Heartbeat, now: float
+    ) -> EntrySession:
+        reported = reported_state(heartbeat)
+        entry = self._entry_by_session_id.get(session.id)
+        if entry is None:
+            entry = EntrySession(session, heartbeat, reported)
+            self._entry_by_session_id[session.id] = entry
+        entry.heartbeat = heartbeat
+        # The heartbeat may have been sent before an update arrived that is on
+        # its way; what is sent on a session arrives in order.
+        if now - entry.sent_at >= RESEND_AFTER_S:
+            entry.state = reported
+        return entry
+
+    def _grant(self, entry: EntrySession, now: float) -> None:
+        """Send what an entry lacks, followed by the lease."""
+        entry.awaits_leader = False
         if self._lending is None:
             self._lending = CopyLending(self._routing, now)
+        newest = newest_state(self._distribution, self._replica.state)
+        self._send_updates(entry, newest, now)
         voters = self._replica.node.group.voters
-        for message in heartbeat_answers(
+        grant = make_grant(
             self._distribution,
-            heartbeat,
+            entry.heartbeat,
             self._replica.state,
             self._lease_s,
             tuple(node_name_from_id(id) for id in voters),
-            lend_copies(self._lending, heartbeat.wanted, now),
-        ):
-            session.inbox.put(message)
+            lend_copies(self._lending, entry.heartbeat.wanted, now),
+        )
+        entry.session.inbox.put(grant)
+
+    def _send_updates(
+        self, entry: EntrySession, newest: EntryState, now: float
+    ) -> None:
+        if entry.state == newest:
+            return
+        updates = entry_updates(
+            self._distribution,
+            entry.state,
+            self._replica.state,
+            accepts_packed=entry.heartbeat.accepts_packed,
+        )
+        for update in updates:
+            entry.session.inbox.put(update)
+        entry.state = newest
+        entry.sent_at = now
 
     def remove_session(self, session: Session) -> None:
         """Remove a session that has ended."""
-        self._session_by_id.pop(session.id, None)
-
-    def broadcast(self, message: Any) -> None:
-        """Send a message to all connected entries."""
-        for session in self._session_by_id.values():
-            session.inbox.put(message)
+        self._entry_by_session_id.pop(session.id, None)
 
-    def publish_listing(self, listed_by_id: dict[str, ListedUpstream]) -> None:
-        """Store a listing from the platform, and send changes to the entries.
+    def push_updates(self, now: float) -> None:
+        """Bring all connected entries to the newest state.
 
-        Does nothing unless this node leads with a quorum.
+        Does nothing unless this node leads with a quorum. Entries whose last
+        heartbeat came before that are granted their lease now.
         """
         if not self._replica.has_quorum_contact():
             return
-        term = self._replica.node.term
-        message = replace_listing(self._distribution, term, listed_by_id)
-        if message is not None:
-            self.broadcast(message)
+        newest = newest_state(self._distribution, self._replica.state)
+        if newest == self._pushed_state:
+            return
+        self._pushed_state = newest
+        for entry in self._entry_by_session_id.values():
+            if entry.awaits_leader:
+                self._grant(entry, now)
+            else:
+                self._send_updates(entry, newest, now)
 
-    def publish_delta(self, delta: DeltaSent) -> None:
-        """Store a change that was applied; the leader also broadcasts it."""
-        add_delta(self._distribution, delta)
+    def store_listing(self, listed_by_id: dict[str, ListedUpstream]) -> None:
+        """Store a listing from the platform.
+
+        Does nothing unless this node leads with a quorum.
+        """
         if self._replica.has_quorum_contact():
-            self.broadcast(delta)
+            term = self._replica.node.term
+            replace_listing(self._distribution, term, listed_by_id)
+
+    def add_delta(self, delta: DeltaSent) -> None:
+        """Store a change of the configuration that was applied."""
+        add_delta(self._distribution, delta)
 
     def add_table(self, table: MemberTable) -> None:
         """Store a member table that was committed."""
--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -43,10 +43,9 @@
     members_changed_event,
 )
 from berylspool.process.control.entry_sessions import EntrySessions
+from berylspool.process.control.leader_duties import due_changes
 from berylspool.process.control.operator_commands import (
     OperatorCommandHandler,
-    initial_change,
-    move_change,
 )
 from berylspool.process.control.pending_replies import (
     LinkMessage,
@@ -233,6 +232,7 @@
                     await self._handle_message(message)
                 await self._propose_changes()
                 await self._tick()
+                self._entry_sessions.push_updates(self._clock())
         except StorageError as error:
             self._log.put(StorageFailed(str(error)))
             raise
@@ -247,11 +247,12 @@
             await self._run_leader_duties()
         elif self._group_manager.may_be_outside_group():
             self._group_manager.announce_identity(self.settings.controls)
-        is_leader = self.replica.is_leader
         answer_rollout_waits(
-            self._pending, self.membership, self._clock(), is_leader
+            self._pending,
+            self.membership,
+            self._clock(),
+            self.replica.is_leader,
         )
-        set_gauge(self.metrics, "berylspool_quorum_contact", self.is_leading())
         for name, value in self.replica.gauge_by_name().items():
             set_gauge(self.metrics, name, value)
 
@@ -268,7 +269,7 @@
             case ConfigurationRequest():
                 self._command_handler.reply_configuration(message)
             case ListingFetched():
-                self._entry_sessions.publish_listing(message.listed_by_id)
+                self._entry_sessions.store_listing(message.listed_by_id)
             case BackupRequest():
                 self._command_handler.reply_backup(message)
 
@@ -325,21 +326,8 @@
         group = self._group_manager.plan_group_change()
         if group is not None:
             await self.step(ProposeGroup(NO_TAG, group))
-        configuration = self.replica.state.configuration
-        if configuration.revision == 0:
-            if not self._pending.proposed_by_index and not self._pending.batch:
-                self.submit(initial_change(self.settings, self._wall_clock()))
-            return
-        for action in membership.step(
-            self.membership, membership.Tick(), self._clock()
-        ):
-            self.submit(Seat(action.table))
-        if self._pending.proposed_by_index or self._pending.batch:
-            return
-        for before, after in move_control.step(
-            self.move_control, configuration, self._wall_clock()
-        ):
-            self.submit(move_change(before, after, self._wall_clock()))
+        for change in due_changes(self, self._pending, self._wall_clock()):
+            self.submit(change)
 
     async def step(self, event: ConsensusEvent) -> None:
         """Pass an event to the replica and execute its outputs.
@@ -395,6 +383,6 @@
     def _publish_change(self, result: ChangeResult, change: Configure) -> None:
         before, after = result.before, result.after
         delta = DeltaSent(before.revision, change.operations, change.at)
-        self._entry_sessions.publish_delta(delta)
+        self._entry_sessions.add_delta(delta)
         for event in move_control.move_changed_events(before, after):
             self._log.put(event)
--- a/berylspool/process/control/tests/test_copy_lending.py
+++ b/berylspool/process/control/tests/test_copy_lending.py
@@ -9,7 +9,7 @@
 from berylspool.process.control.copy_lending import CopyLending, lend_copies
 from berylspool.process.control.distribution import (
     DistributionState,
-    heartbeat_answers,
+    make_grant,
 )
 from berylspool.process.group.state_machine import ControlState
 from berylspool.process.settings import RoutingSettings
@@ -66,7 +66,7 @@
     member = Member("e", "127.0.0.1", 1)
     heartbeat = Heartbeat(member, "b", 1, 1, False, 1, 0.0, wanted=wanted)
     lending = CopyLending(ROUTING, leads_since=0.0)
-    *_, grant = heartbeat_answers(
+    grant = make_grant(
         DistributionState(),
         heartbeat,
         ControlState(),
--- /dev/null
+++ b/berylspool/process/control/tests/test_entry_sessions.py
@@ -0,0 +1,225 @@
+"""Updates that entries get from the leader, and how often.
+
+An entry reports what it has in heartbeats that cross the updates on their way,
+so an update must not be sent again for each of them.
+"""
+
+import dataclasses
+
+import pytest
+
+from berylspool.common.frame import HEADER_BYTES, Packed
+from berylspool.connection.control_message import (
+    ConfigurationSent,
+    DeltaSent,
+    Grant,
+    Heartbeat,
+    ListingDelta,
+    ListingSent,
+    NotLeader,
+    make_control_codec,
+)
+from berylspool.connection.message import Member
+from berylspool.process.control.distribution import (
+    MAX_LISTING_DELTAS,
+    DistributionState,
+    listing_update,
+    replace_listing,
+)
+from berylspool.process.control.entry_sessions import (
+    RESEND_AFTER_S,
+    EntrySessions,
+)
+from berylspool.process.group.message import Group
+from berylspool.process.group.state_machine import ControlState
+from berylspool.process.settings import Settings
+from berylspool.version.configuration import Configuration, Document, Upstream
+from berylspool.version.listing import ListedUpstream
+
+CODEC = make_control_codec()
+DOCUMENT_BYTES = 4000
+
+
+class FakeInbox(list):
+    put = list.append
+
+
+class FakeSession:
+    def __init__(self, id):
+        self.id = id
+        self.inbox = FakeInbox()
+
+    def received(self):
+        """Return the messages as the entry decodes them, and forget them."""
+        body = CODEC.encode(self.inbox)[HEADER_BYTES:]
+        self.inbox.clear()
+        return CODEC.decode(body)
+
+
+class FakeReplica:
+    def __init__(self):
+        self.leads = True
+        self.leader = "other"
+        self.state = ControlState()
+        self.node = type("Node", (), {"group": Group(("a.0",)), "term": 1})()
+
+    def has_quorum_contact(self):
+        return self.leads
+
+    def publish(self, sessions, number):
+        """Commit a published document as the next revision."""
+        document = Document(number, bytes([number]) * DOCUMENT_BYTES)
+        self.state.configuration = Configuration(number, document=document)
+        sessions.add_delta(DeltaSent(number - 1, document.body, 0.0))
+
+
+def make_heartbeat(revision=0, table_epoch=0, listing=(0, 0), packed=True):
+    member = Member("e", "127.0.0.1", 1)
+    return Heartbeat(
+        member,
+        "b",
+        revision,
+        0,
+        False,
+        table_epoch,
+        0.0,
+        listing_epoch=listing[0],
+        listing_serial=listing[1],
+        accepts_packed=packed,
+    )
+
+
+def make_listing(count, **changes):
+    upstreams = [
+        Upstream(f"i-{n}", f"10.0.0.{n}", 80, "a", "v1") for n in range(count)
+    ]
+    upstreams[0] = dataclasses.replace(upstreams[0], **changes)
+    return {u.id: ListedUpstream("s", u, 2) for u in upstreams}
+
+
+@pytest.fixture
+def replica():
+    return FakeReplica()
+
+
+@pytest.fixture
+def sessions(replica):
+    return EntrySessions(replica, Settings())
+
+
+def kinds(messages):
+    return [type(message) for message in messages]
+
+
+def test_update_on_its_way_is_not_sent_again_for_a_crossing_heartbeat(
+    replica, sessions
+):
+    session = FakeSession("1")
+    replica.publish(sessions, 1)
+    sessions.store_listing(make_listing(20))
+    sessions.answer_heartbeat(session, make_heartbeat(), 0.0)
+    assert kinds(session.received()) == [DeltaSent, ListingSent, Grant]
+    sessions.answer_heartbeat(session, make_heartbeat(), 0.1)
+    assert kinds(session.received()) == [Grant]
+
+
+def test_update_that_an_entry_still_lacks_is_sent_again(replica, sessions):
+    session = FakeSession("1")
+    replica.publish(sessions, 1)
+    sessions.answer_heartbeat(session, make_heartbeat(), 0.0)
+    session.received()
+    sessions.answer_heartbeat(session, make_heartbeat(), RESEND_AFTER_S)
+    assert kinds(session.received()) == [DeltaSent, Grant]
+
+
+def test_change_is_pushed_at_once_as_the_difference(replica, sessions):
+    session = FakeSession("1")
+    sessions.store_listing(make_listing(20))
+    sessions.answer_heartbeat(session, make_heartbeat(), 0.0)
+    session.received()
+    replica.publish(sessions, 1)
+    sessions.store_listing(make_listing(20, is_cold=True))
+    sessions.push_updates(0.0)
+    delta, listing_delta = session.received()
+    assert isinstance(delta, DeltaSent)
+    assert [u.upstream.id for u in listing_delta.changed] == ["i-0"]
+    sessions.push_updates(0.1)
+    assert not session.inbox
+
+
+def test_replayed_log_is_sent_as_one_configuration(replica, sessions):
+    """After a restart of all, the whole log is applied with one commit."""
+    session = FakeSession("1")
+    replica.leads = False
+    sessions.answer_heartbeat(session, make_heartbeat(), 0.0)
+    assert kinds(session.received()) == [NotLeader]
+    replica.leads = True
+    for number in range(1, 21):
+        replica.publish(sessions, number)
+    sessions.push_updates(0.2)
+    assert kinds(session.received()) == [ConfigurationSent, Grant]
+
+
+def test_entry_that_waits_for_a_leader_is_granted_without_a_heartbeat(
+    replica, sessions
+):
+    session = FakeSession("1")
+    replica.leads = False
+    sessions.answer_heartbeat(session, make_heartbeat(), 0.0)
+    session.received()
+    sessions.push_updates(0.1)
+    assert not session.inbox
+    replica.leads = True
+    replica.publish(sessions, 1)
+    sessions.push_updates(0.2)
+    *_, grant = session.received()
+    assert isinstance(grant, Grant)
+    assert grant.sent_at == 0.0
+
+
+def test_entries_that_lack_the_same_share_one_encoded_message(
+    replica, sessions
+):
+    replica.publish(sessions, 1)
+    sessions.store_listing(make_listing(200))
+    packed = []
+    for number in range(3):
+        session = FakeSession(str(number))
+        sessions.answer_heartbeat(session, make_heartbeat(), 0.0)
+        packed.append(session.inbox[0])
+    assert isinstance(packed[0], Packed)
+    assert packed[1] is packed[0] and packed[2] is packed[0]
+    plain = CODEC.encode([ListingSent(sessions._distribution.listing)])
+    assert len(packed[0].body) * 4 < len(plain)
+
+
+def test_entry_of_an_older_build_gets_plain_messages(replica, sessions):
+    session = FakeSession("1")
+    replica.publish(sessions, 1)
+    sessions.answer_heartbeat(session, make_heartbeat(packed=False), 0.0)
+    assert not any(isinstance(m, Packed) for m in session.inbox)
+    assert kinds(session.received()) == [DeltaSent, Grant]
+
+
+def test_entry_a_few_changes_behind_gets_the_changes_of_the_listing():
+    distribution = DistributionState()
+    for number in range(5):
+        listing = make_listing(20, started_at_ms=number)
+        replace_listing(distribution, 1, listing)
+    serials = [u.serial for u in listing_update(distribution, (1, 2))]
+    assert serials == [3, 4, 5]
+    assert listing_update(distribution, (1, 5)) == ()
+    whole = [ListingSent(distribution.listing)]
+    assert list(listing_update(distribution, (0, 2))) == whole
+    assert all(
+        isinstance(u, ListingDelta)
+        for u in listing_update(distribution, (1, 1))
+    )
+
+
+def test_entry_far_behind_gets_the_whole_listing():
+    distribution = DistributionState()
+    for number in range(MAX_LISTING_DELTAS + 2):
+        listing = make_listing(20, started_at_ms=number)
+        replace_listing(distribution, 1, listing)
+    assert kinds(listing_update(distribution, (1, 1))) == [ListingSent]
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -125,6 +125,9 @@
         self._table = MemberTable()
         self._drained_epoch = 0
         self._is_leaving = False
+        # Whether the next heartbeat reports more than the time; it is then sent
+        # at once, after all messages that came together.
+        self._has_news = False
         self._is_lease_held = False
         self._lease_until = float("-inf")
         self._leader = ""
@@ -149,7 +152,7 @@
                 for message in await self.inbox.take(wait_s):
                     self._handle(message)
                 self._ask_for_copies()
-                if self._clock() >= next_heartbeat_at:
+                if self._has_news or self._clock() >= next_heartbeat_at:
                     is_leader_known = self._knows_leader()
                     wait_s = (
                         HEARTBEAT_INTERVAL_S
@@ -183,10 +186,12 @@
             self._listing.serial,
             self._get_convicted(),
             tuple(self._wanted_by_pool.values()),
+            accepts_packed=True,
         )
 
     def _send_heartbeat(self) -> None:
         """Send a heartbeat; resend ledger requests without a reply."""
+        self._has_news = False
         now = self._clock()
         heartbeat = self._build_heartbeat()
         if self._knows_leader():
@@ -221,7 +226,7 @@
         match message:
             case TableDrained(epoch=epoch):
                 self._drained_epoch = max(self._drained_epoch, epoch)
-                self._send_heartbeat()
+                self._has_news = True
             case ExtraCopies(service=service, version=version, copies=copies):
                 pool = (service, version)
                 if pool in self._wanted_by_pool:
@@ -229,7 +234,7 @@
                 self._wanted_by_pool[pool] = replace(message, copies=copies)
             case Leave():
                 self._is_leaving = True
-                self._send_heartbeat()
+                self._has_news = True
             case LedgerRequest(request=request):
                 now = self._clock()
                 pending = PendingLedgerRequest(
@@ -352,7 +357,7 @@
         self._configuration = configuration
         self._on_configuration(configuration)
         self._log(ConfigurationApplied(configuration.revision))
-        self._send_heartbeat()
+        self._has_news = True
 
     def _apply_delta(self, delta: DeltaSent) -> None:
         """Apply a change that is based on the revision in force.
--- a/berylspool/process/entry/tests/test_control_client.py
+++ b/berylspool/process/entry/tests/test_control_client.py
@@ -116,3 +116,27 @@
     updates = configuration_update(distribution, 0, newest)
     assert updates == [ConfigurationSent(newest)]
     assert configuration_update(distribution, 28, newest) == deltas[-1:]
+
+
+def test_updates_that_came_together_are_reported_in_one_heartbeat():
+    sent = []
+
+    async def run():
+        client = make_client()
+        client._links.send = lambda node, message: sent.append(message)
+        client._links.send_to_all = lambda message: sent.append(message)
+        client._handle(ControlMessage(SEED, Grant(0.0, 2.0, 0, 0)))
+        client._send_heartbeat()
+        sent.clear()
+        for revision in range(1, 6):
+            configuration = Configuration(revision=revision)
+            update = ConfigurationSent(configuration)
+            client.inbox.put(ControlMessage(SEED, update))
+        task = asyncio.ensure_future(client.run())
+        while not sent:
+            await asyncio.sleep(0)
+        task.cancel()
+
+    asyncio.run(run())
+    [heartbeat] = sent
+    assert heartbeat.revision == 5
