A control node whose disk is full stays up and takes part again later

Cause: a refused write ended the process; it was started again, ended at the next write, and so on, three times in 2.5 s, each time with the loss of all sessions. A founder that was refused between its two writes had an identity without a group.

Change: Storage tells a refused write from an unknown disk, cuts off its rest and recovers. The replica drops from memory what relied on the write, gives up the lead, rejects proposals, and rejoins once a small write succeeds. A founder's identity is written after its group. A consensus message that cannot be decoded costs the message, not the process.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -6,6 +6,7 @@
 __all__ = [
     "CommandDecided",
     "ConfigurationApplied",
+    "DiskRoom",
     "Event",
     "LeaderChanged",
     "LeaseChanged",
@@ -280,6 +281,15 @@
     error: str
 
 
+@dataclass(frozen=True, slots=True)
+class DiskRoom(Event):
+    """The disk of a control node ran out of room, or has room again."""
+
+    number: ClassVar[int] = 4009
+    has_room: bool
+    error: str
+
+
 @dataclass(frozen=True, slots=True)
 class ListingFailed(Event):
     """The list of upstreams could not be read; the last one stays in use."""
--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -30,6 +30,7 @@
     "berylspool_term": "Consensus term of a control node.",
     "berylspool_leader": "Whether this control node is the leader.",
     "berylspool_commit_index": "Commit index of a control node.",
+    "berylspool_disk_full": "Whether the disk refuses writes for lack of room.",
     "berylspool_members": "Entries in the active member table.",
     "berylspool_plan": "Number of the forwarding plan in force.",
     "berylspool_listing_age_seconds": "Time since the listing changed.",
--- a/berylspool/exception.py
+++ b/berylspool/exception.py
@@ -65,6 +65,10 @@
     """The data directory cannot be read or written."""
 
 
+class StorageFullError(StorageError):
+    """The disk has no room; what was saved before is unchanged."""
+
+
 class CorruptLogError(StorageError):
     """A stored record fails its checksum and is not a partial last write."""
 
--- a/berylspool/process/control/leader_duties.py
+++ b/berylspool/process/control/leader_duties.py
@@ -25,7 +25,7 @@
 
 
 def due_changes(
-    leader: Leader, pending: PendingReplies, wall_now: float
+    leader: Leader, pending: PendingReplies, now: float, wall_now: float
 ) -> list[Change]:
     """Return the changes that are due now.
 
@@ -35,6 +35,7 @@
     Args:
         leader: A leader with a quorum.
         pending: Changes that are not committed yet.
+        now: Monotonic time in seconds.
         wall_now: Seconds since the epoch.
     """
     has_pending = bool(pending.proposed_by_index or pending.batch)
@@ -45,9 +46,7 @@
         return [initial_change(leader.settings, wall_now)]
     changes: list[Change] = [
         Seat(action.table)
-        for action in membership.step(
-            leader.membership, membership.Tick(), leader.replica.now()
-        )
+        for action in membership.step(leader.membership, membership.Tick(), now)
     ]
     if has_pending or changes:
         return changes
--- a/berylspool/process/control/pending_replies.py
+++ b/berylspool/process/control/pending_replies.py
@@ -17,6 +17,7 @@
     "PendingReplies",
     "RolloutWait",
     "SessionMessage",
+    "add_rollout_wait",
     "answer_committed_changes",
     "answer_rollout_waits",
     "refuse_changes",
@@ -26,6 +27,7 @@
 
 
 MAX_CHANGES_PER_RECORD = 512
+ROLLOUT_WAIT_TIMEOUT_S = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,6 +133,24 @@
         pending_change.reply(answer)
 
 
+def add_rollout_wait(
+    pending: PendingReplies,
+    request: CommandRequest,
+    answer: CommandAnswer,
+    now: float,
+) -> None:
+    """Add an operator's request that waits until its revision is in force.
+
+    Args:
+        pending: State to change in place.
+        request: The request of the operator.
+        answer: Its answer, which names the revision.
+        now: Monotonic time in seconds.
+    """
+    deadline_at = now + ROLLOUT_WAIT_TIMEOUT_S
+    pending.rollout_waits.append(RolloutWait(request, answer, deadline_at))
+
+
 def answer_rollout_waits(
     pending: PendingReplies, membership: Membership, now: float, is_leader: bool
 ) -> None:
--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -2,20 +2,19 @@
 
 import asyncio
 import random
-import secrets
 import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from berylspool.common.event import (
+    DiskRoom,
     LeaderChanged,
     LinkChanged,
     ProcessStarted,
     ProcessStopped,
     StorageFailed,
 )
-from berylspool.common.frame import HEADER_BYTES
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics, set_gauge
 from berylspool.connection.admin import (
@@ -36,8 +35,14 @@
 )
 from berylspool.connection.listen import listen
 from berylspool.connection.peer import LinkServer, Session
-from berylspool.exception import ProtocolError, SettingsError, StorageError
+from berylspool.exception import (
+    FrameError,
+    ProtocolError,
+    SettingsError,
+    StorageError,
+)
 from berylspool.process.control import membership, move_control
+from berylspool.process.control.consensus_transport import ConsensusTransport
 from berylspool.process.control.distribution import (
     heartbeat_event,
     members_changed_event,
@@ -51,8 +56,8 @@
     LinkMessage,
     PendingChange,
     PendingReplies,
-    RolloutWait,
     SessionMessage,
+    add_rollout_wait,
     answer_committed_changes,
     answer_rollout_waits,
     refuse_changes,
@@ -66,7 +71,10 @@
 )
 from berylspool.process.control_links import make_control_links
 from berylspool.process.group import consensus
-from berylspool.process.group.group_manager import GroupManager
+from berylspool.process.group.group_manager import (
+    GroupManager,
+    gauge_by_name,
+)
 from berylspool.process.group.message import (
     ConsensusEvent,
     MessageReceived,
@@ -75,13 +83,13 @@
     RoleChanged,
     SendMessage,
     Tick,
-    consensus_codec,
 )
-from berylspool.process.group.reconfiguration import node_name_from_id
-from berylspool.process.group.replica import (
+from berylspool.process.group.replica import Replica
+from berylspool.process.group.replica_output import (
     ChangeResult,
+    DiskRoomChanged,
     RecordApplied,
-    Replica,
+    ReplicaOutput,
     SnapshotInstalled,
 )
 from berylspool.process.group.state_machine import Change, Configure, Seat
@@ -96,7 +104,6 @@
 __all__ = ["ControlNode"]
 
 TICK_INTERVAL_S = 0.05
-ROLLOUT_WAIT_TIMEOUT_S = 30.0
 NO_TAG = 0
 
 
@@ -143,9 +150,7 @@
         self._wall_clock = wall_clock
         self._log = log or LogTask()
         self.metrics = Metrics()
-        self._random = random.Random(secrets.randbits(64))
         self._pending = PendingReplies()
-        self._message_codec = consensus_codec()
         self._links = make_control_links(
             name,
             settings,
@@ -153,6 +158,7 @@
             sink=lambda _, message: self.inbox.put(LinkMessage(message)),
             on_open=lambda other: self._log.put(LinkChanged(other, "up")),
         )
+        self._transport = ConsensusTransport(self._links)
         self._tasks: list[asyncio.Task[None]] = []
         founders = tuple(
             sorted(n for n, c in settings.controls.items() if c.is_voter)
@@ -178,10 +184,11 @@
             ),
             on_session_end=self._handle_session_end,
         )
-        if platform.make_operator_server is not None:
-            self._admin = platform.make_operator_server(self.inbox)
-        else:
-            self._admin = AdminServer(self.inbox, settings.tokens, self.metrics)
+        self._admin = (
+            platform.make_operator_server(self.inbox)
+            if platform.make_operator_server is not None
+            else AdminServer(self.inbox, settings.tokens, self.metrics)
+        )
 
     async def run(self) -> None:
         """Serve until SIGTERM or SIGINT, or until the disk fails.
@@ -202,18 +209,14 @@
         self._admin.listen(self._node_settings.admin_address)
         self._tasks.append(asyncio.ensure_future(self._log.run()))
         self._links.start()
-        reader = self._platform.list_reader
+        reader, replica = self._platform.list_reader, self.replica
         if reader is not None:
             polling = poll_listing(
-                reader, self.inbox, self.is_leading, self._log.put
+                reader, self.inbox, replica.has_quorum_contact, self._log.put
             )
             self._tasks.append(asyncio.ensure_future(polling))
         self._log.put(ProcessStarted("control", self.name, VERSION))
 
-    def is_leading(self) -> bool:
-        """Return whether this node leads and has the newest state."""
-        return self.replica.has_quorum_contact()
-
     def reload(self, settings: Settings) -> None:
         """Replace the settings, which name the other control nodes."""
         self.settings = settings
@@ -241,20 +244,19 @@
         if self.replica.is_founding:
             self._group_manager.query_founders()
             return
-        self.replica.node.jitter = self._random.random()
+        self._handle_outputs(await self.replica.rejoin_if_room())
+        for name, value in gauge_by_name(self.replica).items():
+            set_gauge(self.metrics, name, value)
+        if not self.replica.has_room:
+            return
+        self.replica.node.jitter = random.random()
         await self.step(Tick())
         if self.replica.has_quorum_contact():
             await self._run_leader_duties()
         elif self._group_manager.may_be_outside_group():
             self._group_manager.announce_identity(self.settings.controls)
-        answer_rollout_waits(
-            self._pending,
-            self.membership,
-            self._clock(),
-            self.replica.is_leader,
-        )
-        for name, value in self.replica.gauge_by_name().items():
-            set_gauge(self.metrics, name, value)
+        now, is_leader = self._clock(), self.replica.is_leader
+        answer_rollout_waits(self._pending, self.membership, now, is_leader)
 
     async def _handle_message(self, message: Any) -> None:
         match message:
@@ -275,18 +277,14 @@
 
     async def _handle_session(self, session: Session, message: Any) -> None:
         match message:
-            case FoundingQuery(id=id):
-                has_promised = self.replica.has_received_from(id)
-                session.inbox.put(FoundingReply(id, has_promised, self.name))
+            case FoundingQuery():
+                session.inbox.put(self._group_manager.answer_founder(message))
             case Addressed(receiver=receiver) if (
                 receiver and receiver == self.replica.node.id
             ):
-                [inner] = self._message_codec.decode(message.body)
-                await self.replica.record_sender(message.sender)
-                await self.step(MessageReceived(message.sender, inner))
-            case Announce(name=name, id=id):
-                self.announced_id_by_name[name] = id
-                self._group_manager.forward_announcement(message)
+                await self._receive_consensus(message)
+            case Announce():
+                self._group_manager.handle_announcement(message)
             case Heartbeat():
                 now = self._clock()
                 membership.step(self.membership, heartbeat_event(message), now)
@@ -295,6 +293,15 @@
             case Intend() | Settle():
                 self.submit(message, session.inbox.put)
 
+    async def _receive_consensus(self, addressed: Addressed) -> None:
+        try:
+            message = self._transport.decode(addressed)
+        except FrameError as error:
+            self._log.put(LinkChanged(addressed.sender, str(error)))
+            return
+        self._handle_outputs(await self.replica.record_sender(addressed.sender))
+        await self.step(MessageReceived(addressed.sender, message))
+
     def submit(
         self,
         change: Change,
@@ -310,10 +317,7 @@
         self, request: CommandRequest, answer: CommandAnswer
     ) -> None:
         """Reply to an operator once a revision is in force everywhere."""
-        deadline = self._clock() + ROLLOUT_WAIT_TIMEOUT_S
-        self._pending.rollout_waits.append(
-            RolloutWait(request, answer, deadline)
-        )
+        add_rollout_wait(self._pending, request, answer, self._clock())
 
     async def _propose_changes(self) -> None:
         for changes in take_record_batches(self._pending):
@@ -326,7 +330,8 @@
         group = self._group_manager.plan_group_change()
         if group is not None:
             await self.step(ProposeGroup(NO_TAG, group))
-        for change in due_changes(self, self._pending, self._wall_clock()):
+        now, wall_now = self._clock(), self._wall_clock()
+        for change in due_changes(self, self._pending, now, wall_now):
             self.submit(change)
 
     async def step(self, event: ConsensusEvent) -> None:
@@ -335,12 +340,13 @@
         Raises:
             StorageError: The disk failed.
         """
-        for output in await self.replica.step(event):
+        self._handle_outputs(await self.replica.step(event))
+
+    def _handle_outputs(self, outputs: list[ReplicaOutput]) -> None:
+        for output in outputs:
             match output:
-                case SendMessage(peer=peer, message=message):
-                    body = self._message_codec.encode([message])[HEADER_BYTES:]
-                    addressed = Addressed(self.replica.node.id, peer, body)
-                    self._links.send(node_name_from_id(peer), addressed)
+                case SendMessage():
+                    self._transport.send(self.replica.node.id, output)
                 case ProposalRejected(tag=tag):
                     refuse_changes(
                         self._pending.proposed_by_index.pop(tag, []),
@@ -350,6 +356,8 @@
                     self._handle_role_change(role, term)
                 case RecordApplied():
                     self._handle_record_applied(output)
+                case DiskRoomChanged(has_room=has_room, error=error):
+                    self._log.put(DiskRoom(has_room, error))
                 case SnapshotInstalled():
                     self._entry_sessions.clear_deltas()
                     self._load_member_tables()
@@ -364,8 +372,8 @@
             self._load_member_tables()
 
     def _load_member_tables(self) -> None:
-        state = self.replica.state
-        event = membership.TablesCommitted(state.active, state.proposed)
+        tables = self.replica.state
+        event = membership.TablesCommitted(tables.active, tables.proposed)
         membership.step(self.membership, event, self._clock())
 
     def _handle_record_applied(self, record: RecordApplied) -> None:
@@ -382,7 +390,8 @@
 
     def _publish_change(self, result: ChangeResult, change: Configure) -> None:
         before, after = result.before, result.after
-        delta = DeltaSent(before.revision, change.operations, change.at)
-        self._entry_sessions.add_delta(delta)
+        self._entry_sessions.add_delta(
+            DeltaSent(before.revision, change.operations, change.at)
+        )
         for event in move_control.move_changed_events(before, after):
             self._log.put(event)
--- a/berylspool/process/group/group_manager.py
+++ b/berylspool/process/group/group_manager.py
@@ -6,7 +6,11 @@
 
 from collections.abc import Callable, Iterable
 
-from berylspool.connection.control_message import Announce, FoundingQuery
+from berylspool.connection.control_message import (
+    Announce,
+    FoundingQuery,
+    FoundingReply,
+)
 from berylspool.connection.link_set import LinkSet
 from berylspool.process.group.message import Group
 from berylspool.process.group.reconfiguration import (
@@ -16,7 +20,7 @@
 )
 from berylspool.process.group.replica import Replica
 
-__all__ = ["GroupManager"]
+__all__ = ["GroupManager", "gauge_by_name"]
 
 # Several election timeouts. A node that hears no leader for longer may have
 # been replaced while it was partitioned; no message informs it of that.
@@ -86,8 +90,14 @@
         for name in names:
             self._links.send_if_idle(name, message)
 
-    def forward_announcement(self, announcement: Announce) -> None:
-        """Forward an announcement to the leader, unless this node leads."""
+    def answer_founder(self, query: FoundingQuery) -> FoundingReply:
+        """Return the reply to a founder that asks about its fixed id."""
+        has_promised = self._replica.has_received_from(query.id)
+        return FoundingReply(query.id, has_promised, self._name)
+
+    def handle_announcement(self, announcement: Announce) -> None:
+        """Record an announcement; forward it unless this node leads."""
+        self._announced_by_name[announcement.name] = announcement.id
         if not self._replica.is_leader:
             self._links.send_if_idle(self._replica.leader, announcement)
 
@@ -107,3 +117,17 @@
         for name, id in list(self._announced_by_name.items()):
             if id in members:
                 del self._announced_by_name[name]
+
+
+def gauge_by_name(replica: Replica) -> dict[str, float]:
+    """Return the gauges of a replica by metric name."""
+    state, node = replica.state, replica.node
+    return {
+        "berylspool_term": node.term,
+        "berylspool_leader": float(replica.is_leader),
+        "berylspool_quorum_contact": float(replica.has_quorum_contact()),
+        "berylspool_disk_full": float(not replica.has_room),
+        "berylspool_commit_index": node.commit_index,
+        "berylspool_members": len(state.active.member_by_name),
+        "berylspool_configuration_revision": state.configuration.revision,
+    }
--- a/berylspool/process/group/replica.py
+++ b/berylspool/process/group/replica.py
@@ -4,9 +4,9 @@
 import random
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from berylspool.common.frame import HEADER_BYTES
+from berylspool.exception import StorageFullError
 from berylspool.process.group import consensus
 from berylspool.process.group.message import (
     AppendToLog,
@@ -27,6 +27,14 @@
 )
 from berylspool.process.group.node import term_at
 from berylspool.process.group.reconfiguration import node_name_from_id
+from berylspool.process.group.replica_output import (
+    ChangeResult,
+    DiskRoomChanged,
+    RecordApplied,
+    ReplicaOutput,
+    SnapshotInstalled,
+    rejections,
+)
 from berylspool.process.group.state_machine import (
     Change,
     ControlState,
@@ -36,66 +44,16 @@
     encode_state,
 )
 from berylspool.process.group.storage import Storage
-from berylspool.request.ledger import LedgerReply
-from berylspool.version.configuration import Configuration
-from berylspool.version.operator_command import CommandAnswer
-
-__all__ = [
-    "ChangeResult",
-    "RecordApplied",
-    "Replica",
-    "ReplicaOutput",
-    "SnapshotInstalled",
-]
+
+__all__ = ["Replica"]
 
 COMPACTION_THRESHOLD_RECORDS = 2_000
 # Published plans make long records; a few MB fit a small disk and are read
 # quickly at a start.
 COMPACTION_THRESHOLD_BYTES = 4 * 1024 * 1024
-
-
-@dataclass(frozen=True, slots=True)
-class ChangeResult:
-    """Result of applying one change.
-
-    Attributes:
-        change: The change.
-        answer: Answer for the proposer, or None.
-        before: Configuration before the change.
-        after: Configuration after the change.
-    """
-
-    change: Change
-    answer: CommandAnswer | LedgerReply | None
-    before: Configuration
-    after: Configuration
-
-
-@dataclass(frozen=True, slots=True)
-class RecordApplied:
-    """A committed record was applied.
-
-    Attributes:
-        index: Index of the record.
-        results: Results of the changes in the record, in order.
-    """
-
-    index: int
-    results: tuple[ChangeResult, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class SnapshotInstalled:
-    """A snapshot of the leader has replaced the state."""
-
-
-ReplicaOutput = (
-    SendMessage
-    | ProposalRejected
-    | RoleChanged
-    | RecordApplied
-    | SnapshotInstalled
-)
+# A snapshot needs more room than a record, so records may still be saved.
+COMPACTION_RETRY_S = 5.0
+ROOM_CHECK_INTERVAL_S = 0.1
 
 
 class Replica:
@@ -108,6 +66,11 @@
     that id, even if the VM is started as a founder again.  Any other VM with
     an empty disk gets a new random id and waits to be added as a learner.
 
+    While the disk has no room, the replica takes no part in the group: it
+    neither votes nor acknowledges nor leads, and its consensus state is what
+    the disk holds. It takes part again, like a node that has restarted, once a
+    write succeeds.
+
     Args:
         name: Name of the control node.
         storage: Durable state of the node.
@@ -123,6 +86,7 @@
         unconfirmed_founders: Names of the founders that have not yet confirmed
             this node's fixed id.
         node: Consensus state of the node.
+        has_room: Whether the disk has accepted the last write.
     """
 
     def __init__(
@@ -146,6 +110,8 @@
         self._change_codec = change_codec()
         self._applied_index = 0
         self._log_bytes = 0
+        self._compaction_due_at = self._room_check_due_at = float("-inf")
+        self.has_room = True
         if not storage.recovered.identity:
             self._choose_identity(is_init)
         self.node = self._recover_node()
@@ -171,10 +137,6 @@
         """Whether this node has the role of leader."""
         return self.node.role is consensus.Role.LEADER
 
-    def now(self) -> float:
-        """Return the monotonic time in seconds by which the replica decides."""
-        return self._clock()
-
     def has_quorum_contact(self) -> bool:
         """Return whether this node is a leader whose state is the newest.
 
@@ -188,19 +150,6 @@
             node, self._clock()
         )
 
-    def gauge_by_name(self) -> dict[str, float]:
-        """Return the gauges of this replica by metric name."""
-        return {
-            "berylspool_term": self.node.term,
-            "berylspool_leader": float(self.is_leader),
-            "berylspool_quorum_contact": float(self.has_quorum_contact()),
-            "berylspool_commit_index": self.node.commit_index,
-            "berylspool_members": len(self.state.active.member_by_name),
-            "berylspool_configuration_revision": (
-                self.state.configuration.revision
-            ),
-        }
-
     def has_received_from(self, id: str) -> bool:
         """Return whether a node of that id has ever sent a consensus message.
 
@@ -230,21 +179,30 @@
             return
         self.node = self._recover_node()
 
-    async def record_sender(self, sender: str) -> None:
+    async def record_sender(self, sender: str) -> list[ReplicaOutput]:
         """Save durably that a node has sent a consensus message.
 
         Args:
             sender: Id of the node; it may have sent a vote or an
                 acknowledgement.
 
+        Returns:
+            Outputs for the control task. If the disk has no room, the message
+            must not be handled.
+
         Raises:
             StorageError: The write to the disk failed.
         """
+        if self.has_received_from(sender) or not self.has_room:
+            return []
         recovered = self.storage.recovered
-        if sender not in recovered.message_senders:
-            message_senders = (*recovered.message_senders, sender)
-            self.storage.save_identity(recovered.identity, message_senders)
+        senders = (*recovered.message_senders, sender)
+        self.storage.save_identity(recovered.identity, senders)
+        try:
             await self._sync_storage()
+        except StorageFullError as error:
+            return self._leave_group(error)
+        return []
 
     def propose(self, changes: list[Change]) -> ProposeData:
         """Return the event that proposes changes as one record.
@@ -268,8 +226,22 @@
         Raises:
             StorageError: The write to the disk failed.
         """
+        if not self.has_room:
+            return rejections(event)
         outputs: list[ReplicaOutput] = []
-        actions = consensus.step(self.node, event, self._clock())
+        try:
+            await self._perform_actions(
+                consensus.step(self.node, event, self._clock()), outputs
+            )
+        except StorageFullError as error:
+            outputs += self._leave_group(error)
+            return [*outputs, *rejections(event)]
+        self._compact_log_if_large()
+        return outputs
+
+    async def _perform_actions(
+        self, actions: list[ConsensusAction], outputs: list[ReplicaOutput]
+    ) -> None:
         is_synced = True
         for action in actions:
             match action:
@@ -287,12 +259,51 @@
                     outputs += self._perform_action(action)
         if not is_synced:
             await self._sync_storage()
-        self._compact_log_if_large()
-        return outputs
+
+    def _leave_group(self, error: StorageFullError) -> list[ReplicaOutput]:
+        """Drop what the refused write was to make durable."""
+        role, term = self.node.role, self.node.term
+        self.has_room = False
+        self._room_check_due_at = self._clock() + ROOM_CHECK_INTERVAL_S
+        outputs = self._reload()
+        if role is not consensus.Role.FOLLOWER:
+            outputs.append(RoleChanged(consensus.Role.FOLLOWER, term))
+        return [DiskRoomChanged(False, str(error)), *outputs]
+
+    async def rejoin_if_room(self) -> list[ReplicaOutput]:
+        """Take part in the group again if the disk has room.
+
+        Returns:
+            Outputs for the control task.
+
+        Raises:
+            StorageError: The write failed for another reason.
+        """
+        if self.has_room or self._clock() < self._room_check_due_at:
+            return []
+        try:
+            await asyncio.to_thread(self.storage.check_room)
+        except StorageFullError:
+            self.storage.reopen()
+            self._room_check_due_at = self._clock() + ROOM_CHECK_INTERVAL_S
+            return []
+        self.has_room = True
+        return [DiskRoomChanged(True), *self._reload()]
+
+    def _reload(self) -> list[ReplicaOutput]:
+        """Restore the consensus state from disk; applied records stay applied.
+
+        A record is applied only once it is on disk.
+        """
+        self.storage.reopen()
+        is_snapshot_newer = (
+            self.storage.recovered.snapshot.index > self._applied_index
+        )
+        self.node = self._recover_node(loads_state=is_snapshot_newer)
+        return [SnapshotInstalled()] if is_snapshot_newer else []
 
     async def _sync_storage(self) -> None:
-        loop = asyncio.get_running_loop()
-        await loop.run_in_executor(None, self.storage.sync)
+        await asyncio.to_thread(self.storage.sync)
 
     def _perform_action(self, action: ConsensusAction) -> list[ReplicaOutput]:
         match action:
@@ -328,11 +339,20 @@
             and self._log_bytes < COMPACTION_THRESHOLD_BYTES
         ):
             return
-        if self._applied_index <= self.node.snapshot.index:
+        if (
+            self._applied_index <= self.node.snapshot.index
+            or self._clock() < self._compaction_due_at
+        ):
             return
+        snapshot, log = self.node.snapshot, self.node.log
         event = SnapshotTaken(self._applied_index, encode_state(self.state))
-        for action in consensus.step(self.node, event, self._clock()):
-            self._perform_action(action)
+        try:
+            for action in consensus.step(self.node, event, self._clock()):
+                self._perform_action(action)
+        except StorageFullError:
+            # The log on disk still holds all records.
+            self.node.snapshot, self.node.log = snapshot, log
+            self._compaction_due_at = self._clock() + COMPACTION_RETRY_S
 
     def _choose_identity(self, is_init: bool) -> None:
         """Start to confirm the fixed id of a founder, or take a new id."""
@@ -347,21 +367,26 @@
         """Take the fixed id and create the first group of the deployment."""
         voters = tuple(f"{founder}.0" for founder in self._founders)
         snapshot = Snapshot(0, 0, Group(voters), self._backup)
-        self.storage.save_identity(f"{self._name}.0", ())
-        self.storage.save_snapshot(snapshot, ())
-        self.storage.recovered.snapshot = snapshot
+        self.storage.save_founder(f"{self._name}.0", snapshot)
 
     def _take_new_identity(self) -> None:
         id = f"{self._name}.{secrets.token_hex(4)}"
         self.storage.save_identity(id, ())
         self.storage.sync()
 
-    def _recover_node(self) -> consensus.Node:
+    def _recover_node(self, *, loads_state: bool = True) -> consensus.Node:
+        """Return a node with the state on disk.
+
+        Args:
+            loads_state: Whether the replicated state is that of the snapshot;
+                if not, it stays as it is, with all records applied so far.
+        """
         recovered = self.storage.recovered
         self._log_bytes = sum(len(r.body) for r in recovered.log)
-        self.state = decode_state(recovered.snapshot.data)
-        self._applied_index = recovered.snapshot.index
-        return consensus.recover_node(
+        if loads_state:
+            self.state = decode_state(recovered.snapshot.data)
+            self._applied_index = recovered.snapshot.index
+        node = consensus.recover_node(
             recovered.identity,
             self._timing,
             recovered.term,
@@ -371,3 +396,5 @@
             self._clock(),
             random.random(),
         )
+        node.commit_index = self._applied_index
+        return node
--- a/berylspool/process/group/tests/consensus_machine.py
+++ b/berylspool/process/group/tests/consensus_machine.py
@@ -1,7 +1,7 @@
 """Hypothesis state machine of control nodes on simulated disks and network.
 
 The network loses, duplicates, reorders and partitions messages; VMs crash,
-restart and lose their disks.
+restart and lose their disks; disks fill up and have room again.
 """
 
 from dataclasses import dataclass, field
@@ -32,6 +32,10 @@
 COMPACTION_THRESHOLD_RECORDS = 12
 
 
+class DiskFullError(Exception):
+    """The disk has no room for a save."""
+
+
 @dataclass
 class Disk:
     """Simulated disk: durable state, and saves that are not synced yet."""
@@ -41,8 +45,11 @@
     snapshot: Snapshot = Snapshot()
     log: list = field(default_factory=list)
     unsynced_saves: list = field(default_factory=list)
+    is_full: bool = False
 
     def sync(self):
+        if self.is_full and self.unsynced_saves:
+            raise DiskFullError
         for action in self.unsynced_saves:
             match action:
                 case SaveVote(term=term, voted_for=voted_for):
@@ -68,6 +75,8 @@
     applied: list = field(default_factory=list)
     generation: int = 0
     syncs_first: bool = True
+    is_without_room: bool = False
+    applied_index: int = 0
 
     @property
     def id(self):
@@ -115,6 +124,7 @@
         )
         data = disk.snapshot.data
         vm.applied = data.decode().split(",") if data else []
+        vm.applied_index = disk.snapshot.index
 
     def vm_with_id(self, id):
         name = id.split(".")[0]
@@ -122,10 +132,41 @@
         return vm if vm.id == id else None
 
     def handle_event(self, vm, event):
-        if vm.node is None:
+        if vm.node is None or vm.is_without_room:
             return
-        for action in consensus.step(vm.node, event, self.now):
-            self.perform_action(vm, action)
+        try:
+            for action in consensus.step(vm.node, event, self.now):
+                self.perform_action(vm, action)
+        except DiskFullError:
+            vm.is_without_room = True
+            self.reload_node(vm)
+
+    def reload_node(self, vm):
+        """Restore a node from its disk; what it has applied stays applied."""
+        applied, applied_index = vm.applied, vm.applied_index
+        self.start_node(vm.name)
+        if applied_index >= vm.applied_index:
+            vm.node.commit_index = vm.applied_index = applied_index
+            vm.applied = applied
+
+    @rule(name=st.sampled_from(NAMES))
+    def fills_a_disk(self, name):
+        """One disk at a time has no room."""
+        for vm in self.vm_by_name.values():
+            self.frees_a_disk(vm)
+        self.vm_by_name[name].disk.is_full = True
+
+    @rule()
+    def frees_all_disks(self):
+        for vm in self.vm_by_name.values():
+            self.frees_a_disk(vm)
+
+    def frees_a_disk(self, vm):
+        vm.disk.is_full = False
+        if vm.is_without_room:
+            vm.is_without_room = False
+            if vm.node is not None:
+                self.reload_node(vm)
 
     def perform_action(self, vm, action):
         match action:
@@ -135,12 +176,15 @@
             case AppendToLog():
                 vm.disk.unsynced_saves.append(action)
             case SaveSnapshot(snapshot=snapshot, later_records=later_records):
+                if vm.disk.is_full:
+                    raise DiskFullError
                 vm.disk.sync()
                 vm.disk.snapshot = snapshot
                 vm.disk.log = list(later_records)
                 if action.is_installed:
                     text = snapshot.data.decode()
                     vm.applied = text.split(",") if text else []
+                    vm.applied_index = snapshot.index
             case SendMessage(peer=peer, message=message):
                 if self.syncs_first:
                     vm.disk.sync()
@@ -169,6 +213,8 @@
             assert earlier_record == record, (
                 "two nodes applied different records"
             )
+            assert record.index == vm.applied_index + 1
+            vm.applied_index = record.index
             if record.kind is RecordKind.DATA:
                 vm.applied.append(record.body.decode())
         node = vm.node
@@ -230,6 +276,7 @@
     def crashes(self, name):
         vm = self.vm_by_name[name]
         vm.node = None
+        vm.is_without_room = False
         vm.disk.unsynced_saves.clear()
 
     @rule(name=st.sampled_from(NAMES))
--- a/berylspool/process/group/tests/test_storage.py
+++ b/berylspool/process/group/tests/test_storage.py
@@ -1,19 +1,28 @@
 """Recovery of the data folder: torn tails, flipped bytes, full disks."""
 
+import contextlib
+import errno
+import io
 import os
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from berylspool.exception import CorruptLogError, StorageError
+from berylspool.exception import (
+    CorruptLogError,
+    StorageError,
+    StorageFullError,
+)
+from berylspool.process.group import storage as storage_module
+from berylspool.process.group.log_format import LOG_MAGIC
 from berylspool.process.group.message import (
     Group,
     Record,
     RecordKind,
     Snapshot,
 )
-from berylspool.process.group.storage import LOG_MAGIC, Storage
+from berylspool.process.group.storage import Storage
 
 
 def make_record(index, term=1, size=10):
@@ -158,6 +167,122 @@
         storage.sync()
 
 
+class FullDisk:
+    """Makes writes fail for lack of room, some after a part of the bytes.
+
+    Attributes:
+        is_full: Whether writes fail.
+        room_bytes: Bytes that are still written before the first failure.
+    """
+
+    def __init__(self, monkeypatch, room_bytes=0):
+        self.is_full = False
+        self.room_bytes = room_bytes
+        real_open = open
+        disk = self
+
+        class LimitedFile(io.FileIO):
+            def write(self, data):
+                if not disk.is_full:
+                    return super().write(data)
+                if not disk.room_bytes:
+                    raise OSError(errno.ENOSPC, "No space left on device")
+                part = bytes(data)[: disk.room_bytes]
+                disk.room_bytes -= len(part)
+                return super().write(part)
+
+        def open_limited(path, mode, buffering=-1):
+            if buffering == 0:
+                return LimitedFile(path, mode)
+            return real_open(path, mode)
+
+        monkeypatch.setattr(storage_module, "open", open_limited, raising=False)
+
+
+@pytest.mark.parametrize("room_bytes", [0, 1, 15, 16, 40, 70, 100])
+def test_write_without_room_leaves_what_was_synced(
+    tmp_path, monkeypatch, room_bytes
+):
+    disk = FullDisk(monkeypatch, room_bytes)
+    storage = make_storage(tmp_path)
+    disk.is_full = True
+    storage.save_vote(9, "c3.0")
+    storage.append((make_record(6, size=200),))
+    with pytest.raises(StorageFullError):
+        storage.sync()
+    storage.reopen()
+    recovered = storage.recovered
+    assert recovered.log == [make_record(i) for i in range(1, 6)]
+    if room_bytes < 40:
+        assert (recovered.term, recovered.voted_for) == (3, "c2.0")
+    with pytest.raises(StorageFullError):
+        storage.check_room()
+    storage.reopen()
+    disk.is_full = False
+    storage.check_room()
+    storage.append((make_record(6, term=4),))
+    storage.sync()
+    storage.close()
+    log = Storage(tmp_path).recovered.log
+    assert log == [*(make_record(i) for i in range(1, 6)), make_record(6, 4)]
+
+
+@pytest.mark.parametrize("room_bytes", [0, 10, 60, 150, 250])
+def test_snapshot_without_room_loses_no_record(
+    tmp_path, monkeypatch, room_bytes
+):
+    disk = FullDisk(monkeypatch, room_bytes)
+    storage = make_storage(tmp_path)
+    snapshot = Snapshot(3, 1, Group(("c1.0",)), b"state" * 10)
+    disk.is_full = True
+    with pytest.raises(StorageFullError):
+        storage.save_snapshot(snapshot, (make_record(4), make_record(5)))
+    assert not list(tmp_path.glob("*.new"))
+    disk.is_full = False
+    storage.append((make_record(6),))
+    storage.sync()
+    storage.close()
+    recovered = Storage(tmp_path).recovered
+    assert recovered.snapshot in (Snapshot(), snapshot)
+    assert recovered.identity == "c1.0" and recovered.term == 3
+    last_index = recovered.snapshot.index + len(recovered.log)
+    assert last_index == 6
+
+
+def test_founder_without_room_has_no_identity_without_its_group(
+    tmp_path, monkeypatch
+):
+    snapshot = Snapshot(0, 0, Group(("a.0", "b.0")), b"")
+    for room_bytes in range(0, 400, 20):
+        folder = tmp_path / str(room_bytes)
+        with monkeypatch.context() as patch:
+            disk = FullDisk(patch, room_bytes)
+            storage = Storage(folder)
+            disk.is_full = True
+            # The process ends, and is started again.
+            with contextlib.suppress(StorageFullError):
+                storage.save_founder("a.0", snapshot)
+        recovered = Storage(folder).recovered
+        if recovered.identity:
+            assert recovered.snapshot == snapshot
+
+
+def test_failed_sync_for_lack_of_room_leaves_the_disk_unknown(
+    tmp_path, monkeypatch
+):
+    """The kernel may have dropped pages that it could not write."""
+    storage = make_storage(tmp_path)
+
+    def fail_fdatasync(descriptor):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    monkeypatch.setattr(os, "fdatasync", fail_fdatasync)
+    storage.append((make_record(6),))
+    with pytest.raises(StorageError) as failure:
+        storage.sync()
+    assert not isinstance(failure.value, StorageFullError)
+
+
 def test_unknown_format_is_refused(tmp_path):
     make_storage(tmp_path).close()
     path = tmp_path / "log"
