One odd number, copy or defect costs one request; late loans are not used

Cause, by the reports of other operators: - a deadline of a digit that is not ASCII raised an error in the task of the request, and its caller got no answer; any unexpected error did; - a second copy of an answer without an id answered the next request of the connection, and one of a refusal bore the id of the retry on the same connection; - a load of unbounded or negative numbers entered the choice of upstreams; - a paused entry spent copies that control had lent seconds before, in a window that other entries may use in full; - a configuration with negative or absurd numbers was accepted.

Change: numbers of headers are parsed in one place, and bounded; an unexpected error is logged (2012) and answered 502; once an upstream has echoed an id, an answer without one closes the connection; one that refused a request that may run once is closed; a loan counts for 0.5 s; numbers of new documents are checked, stored ones are still decoded.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -23,6 +23,7 @@
     "ProcessStopped",
     "RequestBlamed",
     "RequestEnded",
+    "RequestFailed",
     "RequestRefused",
     "RequestServed",
     "ServicePlaced",
@@ -102,6 +103,15 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class RequestFailed(Event):
+    """The entry could not handle a request because of an unexpected error."""
+
+    number: ClassVar[int] = 2012
+    path: str
+    error: str
+
+
 @dataclass(frozen=True, slots=True)
 class RequestRefused(Event):
     """A caller's request was refused or failed, and has no answer.
--- a/berylspool/connection/caller.py
+++ b/berylspool/connection/caller.py
@@ -37,6 +37,7 @@
     Reason.QUARANTINED: 422,
     Reason.TIMEOUT: 504,
     Reason.CANCELLED: 499,
+    Reason.INTERNAL: 500,
 }
 
 
--- a/berylspool/platform/document.py
+++ b/berylspool/platform/document.py
@@ -21,6 +21,8 @@
 MS_PER_S = 1000.0
 IDEMPOTENT_ROUTE_TYPE = "idempotent"
 DEFAULT_CONNECTIONS = 16
+# Eleven days in milliseconds; larger numbers are taken for mistakes.
+MAX_NUMBER = 10**9
 
 
 class SplitModel(PlatformModel):
@@ -118,10 +120,31 @@
     Raises:
         ConfigurationError: The text cannot be decoded, or is inconsistent.
     """
-    plan = _decode(text)
+    model = _read_model(text)
+    _check_numbers(model)
+    plan = _to_plan(model)
     return pack_document(plan.number, text), plan
 
 
+def _check_numbers(model: ConfigurationModel) -> None:
+    """Check numbers that a plan accepted by an earlier build may lack.
+
+    Raises:
+        ConfigurationError: A number is negative, or too large.
+    """
+    largest_by_field = {"min_shard_ratio": 1.0}
+    items: tuple[RouteModel | ServiceModel, ...]
+    items = (*model.routes, *model.services)
+    for item in items:
+        for field, value in item:
+            is_number = isinstance(value, int | float)
+            largest = largest_by_field.get(field, MAX_NUMBER)
+            if is_number and not 0 <= value <= largest:
+                raise ConfigurationError(
+                    f"{item.name!r}: {field} is not from 0 to {largest}"
+                )
+
+
 def pack_document(number: int, text: bytes) -> Document:
     """Compress a text into a document.
 
@@ -145,19 +168,18 @@
     """
     if not document.number:
         return ForwardPlan()
-    return _decode(unpack_document(document))
+    return _to_plan(_read_model(unpack_document(document)))
 
 
-def _decode(text: bytes) -> ForwardPlan:
+def _read_model(text: bytes) -> ConfigurationModel:
     try:
         data: Any = orjson.loads(text)
-        model = ConfigurationModel.model_validate(data)
+        return ConfigurationModel.model_validate(data)
     except ValidationError as error:
         details = error.errors(include_input=False, include_url=False)
         raise ConfigurationError(str(details)) from error
     except ValueError as error:
         raise ConfigurationError(f"invalid JSON: {error}") from error
-    return _to_plan(model)
 
 
 def _to_plan(model: ConfigurationModel) -> ForwardPlan:
--- a/berylspool/platform/headers.py
+++ b/berylspool/platform/headers.py
@@ -13,6 +13,7 @@
     "RETRY_AFTER",
     "SERVER_LEAVING",
     "SERVER_LOAD",
+    "parse_whole_number",
     "select_end_to_end",
 ]
 
@@ -53,6 +54,27 @@
 )
 
 
+# Larger than any time in milliseconds, count or number of slots that matters.
+MAX_NUMBER = 10**9
+MAX_DIGITS = 20
+
+
+def parse_whole_number(text: str) -> int | None:
+    """Return the number that a header states, or None if it states none.
+
+    Larger numbers than `MAX_NUMBER` count as that one.
+
+    Examples:
+        >>> [parse_whole_number(t) for t in ("250", "-1", "", "1e3", "\u00b2")]
+        [250, None, None, None, None]
+    """
+    if not (text.isascii() and text.isdigit()):
+        return None
+    if len(text) > MAX_DIGITS:
+        return MAX_NUMBER
+    return min(int(text), MAX_NUMBER)
+
+
 def select_end_to_end(
     headers: Iterable[tuple[str, str]], excluded: Iterable[str] = ()
 ) -> tuple[tuple[str, str], ...]:
--- a/berylspool/platform/ingress.py
+++ b/berylspool/platform/ingress.py
@@ -13,6 +13,7 @@
     responses,
 )
 
+from berylspool.common.event import Event, RequestFailed
 from berylspool.connection.listen import listen
 from berylspool.platform import headers
 from berylspool.request.forward_request import ForwardRequest
@@ -29,6 +30,7 @@
 READY_PATH = "/-/readiness"
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 256 * 1024
+MAX_LOGGED_PATH = 200
 MIN_RETRY_AFTER_S = 0.05
 MS_PER_S = 1000.0
 
@@ -83,6 +85,7 @@
             disconnects.
         is_closing: Returns whether responses must ask callers to use another
             connection.
+        log: Called with each log event.
         listening_socket: Listening socket, if it is open already.
     """
 
@@ -90,10 +93,12 @@
         self,
         answer: Callable[[ForwardRequest, asyncio.Event], Awaitable[Outcome]],
         is_closing: Callable[[], bool],
+        log: Callable[[Event], None],
         listening_socket: socket.socket | None = None,
     ) -> None:
         self._answer = answer
         self._is_closing = is_closing
+        self._log = log
         self._listening_socket = listening_socket
         self._tasks: set[asyncio.Task[None]] = set()
         self._server = HTTPServer(
@@ -135,7 +140,14 @@
         connection = request.connection
         assert isinstance(connection, HTTP1Connection)
         connection.set_close_callback(disconnected.set)
-        outcome = await self._answer(_decode_request(request), disconnected)
+        try:
+            outcome = await self._answer(_decode_request(request), disconnected)
+        except Exception as error:
+            # A defect that one request meets must not leave its caller waiting.
+            self._log(
+                RequestFailed(request.path[:MAX_LOGGED_PATH], repr(error))
+            )
+            outcome = Refusal("", Reason.INTERNAL, False, 0.0)
         if disconnected.is_set():
             return
         response = encode_outcome(outcome)
@@ -157,10 +169,10 @@
 
 def _decode_request(request: HTTPServerRequest) -> ForwardRequest:
     assert request.method is not None and request.uri is not None
-    deadline_text = request.headers.get(headers.REQUEST_DEADLINE, "")
-    deadline_s = (
-        float(deadline_text) / MS_PER_S if deadline_text.isdigit() else None
+    deadline_ms = headers.parse_whole_number(
+        request.headers.get(headers.REQUEST_DEADLINE, "")
     )
+    deadline_s = deadline_ms / MS_PER_S if deadline_ms is not None else None
     host = request.headers.get("Host", "")
     return ForwardRequest(
         id=request.headers.get(headers.REQUEST_ID, ""),
--- a/berylspool/platform/roles.py
+++ b/berylspool/platform/roles.py
@@ -69,7 +69,7 @@
         log=log,
     )
     role.caller_listener = Ingress(
-        role.answer, lambda: role.is_closing, caller_socket
+        role.answer, lambda: role.is_closing, log.put, caller_socket
     )
     readiness_server = ReadinessServer(lambda: role.is_ready)
     readiness_server.listen(platform_settings.listen["readiness-address"])
--- a/berylspool/platform/tests/test_document.py
+++ b/berylspool/platform/tests/test_document.py
@@ -6,6 +6,7 @@
 from berylspool.exception import ConfigurationError
 from berylspool.platform.document import (
     decode_plan,
+    pack_document,
     read_document,
     unpack_document,
 )
@@ -106,3 +107,36 @@
 def test_invalid_configuration_raises_error(text):
     with pytest.raises(ConfigurationError):
         read_document(text)
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("timeout-ms", 1e300),
+        ("timeout-ms", -1),
+        ("target-latency-ms", -5),
+        ("priority", -1),
+        ("min-shard-ratio", 1.5),
+        ("min-shard-ratio", -0.1),
+    ],
+)
+def test_number_out_of_range_is_refused(field, value):
+    data = orjson.loads(make_configuration())
+    data["routes"][0][field] = value
+    with pytest.raises(ConfigurationError):
+        read_document(orjson.dumps(data))
+
+
+@pytest.mark.parametrize("field", ["max-connections", "warmup-s"])
+def test_negative_number_of_a_service_is_refused(field):
+    data = orjson.loads(make_configuration())
+    data["services"][0][field] = -1
+    with pytest.raises(ConfigurationError):
+        read_document(orjson.dumps(data))
+
+
+def test_document_that_an_earlier_build_accepted_is_still_decoded():
+    data = orjson.loads(make_configuration())
+    data["routes"][0]["target-latency-ms"] = -5
+    document = pack_document(7, orjson.dumps(data))
+    assert decode_plan(document).number == 7
--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -6,7 +6,9 @@
 import zlib
 
 import orjson
+import pytest
 
+from berylspool.common.event import RequestFailed
 from berylspool.common.metric import render_exposition
 from berylspool.platform.document import decode_plan, read_document
 from berylspool.platform.ingress import Ingress
@@ -101,7 +103,7 @@
     lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", *extra]
     if body:
         lines.append(f"Content-Length: {len(body)}")
-    writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    writer.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + body)
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     length = int(header_value(head, "content-length"))
     answer = await reader.readexactly(length)
@@ -127,7 +129,9 @@
             control_port=None,
             clock=time.monotonic,
         )
-        ingress = Ingress(forwarder.answer, lambda: forwarder.is_closing)
+        ingress = Ingress(
+            forwarder.answer, lambda: forwarder.is_closing, forwarder.log.put
+        )
         forwarder.caller_listener = ingress
         router = asyncio.ensure_future(forwarder.router.run())
         maintenance = asyncio.ensure_future(forwarder._run_maintenance())
@@ -575,3 +579,45 @@
     text = run_scenario([upstream], [route], scenario)
     assert "berylspool_timer_lag_seconds" in text
     assert 'berylspool_requests_total{outcome="answered",route="r"} 1' in text
+
+
+@pytest.mark.parametrize("deadline", ["\u00b2", "9" * 400, "-5", "1e3", ""])
+def test_odd_deadline_of_a_caller_is_no_obstacle(deadline):
+    upstream = FakeUpstream(
+        "a", lambda head, body: signed_response(head, b"x", "s.a")
+    )
+
+    async def scenario(forwarder, port):
+        extra = ("X-Request-Id: r1", f"X-Request-Deadline: {deadline}")
+        return await send_request(port, "/one/1", extra=extra)
+
+    route = make_route("one", "/one/", service="a")
+    status, _, body = run_scenario([upstream], [route], scenario)
+    assert (status, body) == (200, b"x")
+
+
+def test_unexpected_error_costs_one_request_and_is_logged():
+    upstream = FakeUpstream(
+        "a", lambda head, body: signed_response(head, b"x", "s.a")
+    )
+    logged = []
+
+    async def scenario(forwarder, port):
+        run_request = forwarder._run_request
+
+        async def fail_once(*arguments):
+            forwarder._run_request = run_request
+            raise KeyError("defect")
+
+        forwarder._run_request = fail_once
+        forwarder.log.put = logged.append
+        forwarder.caller_listener._log = logged.append
+        extra = ("X-Request-Id: r1",)
+        first = await send_request(port, "/one/1", extra=extra)
+        second = await send_request(port, "/one/1", extra=extra)
+        return first[0], second[0]
+
+    route = make_route("one", "/one/", service="a")
+    assert run_scenario([upstream], [route], scenario) == (502, 200)
+    [failed] = [event for event in logged if isinstance(event, RequestFailed)]
+    assert failed.path == "/one/1" and "defect" in failed.error
--- a/berylspool/platform/tests/test_upstream.py
+++ b/berylspool/platform/tests/test_upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import socket
 import struct
 import time
@@ -140,7 +141,8 @@
 
 def whole_response(body=b"hello", extra="", id="r1", status="200 OK"):
     head = f"HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\n{STAMP_LINE}{extra}"
-    return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    head += f"Content-Length: {len(body)}\r\n\r\n"
+    return head.encode("latin-1") + body
 
 
 def test_request_is_sent_unchanged_with_its_remaining_time():
@@ -478,3 +480,69 @@
 def test_notices_of_an_upstream_are_decoded(status, lines, notice):
     response = whole_response(extra=lines, status=status)
     assert event_after_sending_to(ScriptedUpstream(response)).notice == notice
+
+
+def answers_of_two_requests(upstream, part=None):
+    """Send two requests on one connection; return the event for each."""
+
+    async def scenario(connection, pool):
+        first = part or make_part(id="r1")
+        connection.inbox.put(SendAttempt(1, 1, first, 2.0))
+        events = [await take_event(pool, (AttemptAnswered, ConnectionClosed))]
+        if isinstance(events[0], AttemptAnswered):
+            second = SendAttempt(1, 2, make_part(id="r2"), 2.0)
+            connection.inbox.put(second)
+            events.append(
+                await take_event(pool, (AttemptAnswered, ConnectionClosed))
+            )
+        return events
+
+    return run_scenario(upstream, scenario)
+
+
+def test_second_copy_without_an_id_is_no_answer_to_the_next_request():
+    """The upstream has echoed ids before, so one without is not the next."""
+    copy = b"HTTP/1.1 200 OK\r\n" + STAMP_LINE.encode()
+    copy += b"Content-Length: 5\r\n\r\nhello"
+    upstream = ScriptedUpstream(whole_response(), copy)
+    first, second = answers_of_two_requests(upstream)
+    assert isinstance(first, AttemptAnswered)
+    assert isinstance(second, ConnectionClosed) and not second.is_planned
+
+
+def test_second_copy_of_a_refusal_meets_no_retry_that_may_run_once():
+    """Refusal and retry have one id; a copy must not refuse what then runs."""
+    part = dataclasses.replace(make_part(id="r1"), idempotent=False)
+    refusal = whole_response(b"", extra="X-Not-Executed: 1\r\n", status="503 X")
+
+    async def scenario(connection, pool):
+        connection.inbox.put(SendAttempt(1, 1, part, 2.0))
+        answered = await take_event(pool, AttemptAnswered)
+        closed = await take_event(pool, ConnectionClosed)
+        return answered, closed
+
+    answered, closed = run_scenario(ScriptedUpstream(refusal), scenario)
+    assert isinstance(answered.reply, NotRunReply)
+    assert closed.is_planned
+
+
+@pytest.mark.parametrize(
+    "text", ["1,2", "-1,0,3", "1e9,0,2", "\u00b2,0,1", "x", ",,", "1,2,3,4"]
+)
+def test_odd_load_counts_as_none(text):
+    extra = f"X-Server-Load: {text}\r\n"
+    event = event_after_sending_to(
+        ScriptedUpstream(whole_response(extra=extra))
+    )
+    assert isinstance(event.reply, RowsReply) and event.load is None
+
+
+def test_huge_numbers_in_headers_are_bounded():
+    digits = "9" * 300
+    extra = f"X-Server-Load: {digits},0,{digits}\r\n"
+    extra += f"Keep-Alive: timeout={digits}\r\n"
+    event = event_after_sending_to(
+        ScriptedUpstream(whole_response(extra=extra))
+    )
+    assert isinstance(event.reply, RowsReply)
+    assert event.load.running <= 10**9 and event.load.slots <= 10**9
--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -151,6 +151,7 @@
         self._has_stopped = asyncio.Event()
         self._is_close_planned = False
         self._has_stale_response = False
+        self._echoes_ids = False
         self._keep_alive = ""
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._timeout: Timeout | None = None
@@ -257,7 +258,12 @@
             return
         forward = pending.part.forward
         echoed_id = response.get(headers.REQUEST_ID)
+        if self._echoes_ids and not echoed_id:
+            # It may be a second copy of an earlier response.
+            self.stop()
+            return
         if forward is not None and echoed_id:
+            self._echoes_ids = True
             sent_id = _header_value(forward.headers, headers.REQUEST_ID)
             if echoed_id != sent_id:
                 # A response to an earlier request; the pending one may follow.
@@ -276,8 +282,12 @@
                 decode_notice(response),
             )
         )
+        is_final = 200 <= response.status < 300 or pending.part.idempotent
         if self._has_stale_response or not response.has_length:
             self.stop()
+        elif not is_final:
+            # A second copy of the refusal would carry the id of the retry, too.
+            self.stop_planned()
         elif response.get("connection").lower() == "close":
             self.stop_planned()
 
@@ -288,8 +298,9 @@
         self._keep_alive = keep_alive
         for parameter in keep_alive.split(","):
             name, _, value = parameter.strip().partition("=")
-            if name == "timeout" and value.isdigit():
-                self._idle_timeout_s = max(float(value), 2 * IDLE_MARGIN_S)
+            timeout_s = headers.parse_whole_number(value)
+            if name == "timeout" and timeout_s is not None:
+                self._idle_timeout_s = max(timeout_s, 2 * IDLE_MARGIN_S)
 
     def stop_planned(self) -> None:
         """End the task after a close that the upstream has announced."""
--- a/berylspool/platform/upstream_codec.py
+++ b/berylspool/platform/upstream_codec.py
@@ -173,12 +173,14 @@
     text = response.get(headers.SERVER_LOAD)
     if not text:
         return None
-    try:
-        running, waiting, slots = (int(number) for number in text.split(","))
-    except ValueError:
-        # The load is only a hint; without it, the pool uses its own counts.
-        return None
-    return ReportedLoad(running, waiting, slots)
+    numbers = [
+        headers.parse_whole_number(number.strip()) for number in text.split(",")
+    ]
+    match numbers:
+        case [int(running), int(waiting), int(slots)]:
+            return ReportedLoad(running, waiting, slots)
+    # The load is only a hint; without it, the pool uses its own counts.
+    return None
 
 
 def decode_notice(response: Response) -> UpstreamNotice | None:
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -54,6 +54,7 @@
 LEADER_TIMEOUT_S = 1.0
 # Heartbeat interval without a known leader: as often as control nodes vote.
 LEADER_SEARCH_INTERVAL_S = 0.1
+LOAN_EXPIRY_S = 0.5
 LEDGER_RESEND_INTERVAL_S = 0.3
 LEDGER_TIMEOUT_S = 5.0
 
@@ -313,7 +314,14 @@
         """
         self._leader = node
         self._granted_at = self._clock()
-        self._on_lent(grant.lent)
+        # Control counts a loan when it lends it; a later use would fall into a
+        # window that other entries may use in full.
+        is_fresh = self._clock() - grant.sent_at <= LOAN_EXPIRY_S
+        self._on_lent(
+            grant.lent
+            if is_fresh
+            else tuple(replace(loan, copies=0) for loan in grant.lent)
+        )
         if grant.convicted:
             self._on_convicted(grant.convicted)
         if grant.controls and self._has_addressed_nodes:
--- a/berylspool/process/entry/tests/test_control_client.py
+++ b/berylspool/process/entry/tests/test_control_client.py
@@ -1,6 +1,7 @@
 """Links of the control client, and the configuration of a starting entry."""
 
 import asyncio
+import functools
 
 from berylspool.connection.control_message import (
     ConfigurationSent,
@@ -14,7 +15,10 @@
     DistributionState,
     configuration_update,
 )
-from berylspool.process.entry.control_client import ControlClient
+from berylspool.process.entry.control_client import (
+    LOAN_EXPIRY_S,
+    ControlClient,
+)
 from berylspool.process.entry.control_client_message import (
     ControlMessage,
 )
@@ -140,3 +144,17 @@
     asyncio.run(run())
     [heartbeat] = sent
     assert heartbeat.revision == 5
+
+
+def test_loan_that_a_paused_entry_reads_late_is_not_used():
+    lent = []
+
+    async def run():
+        client = make_client(on_lent=lent.append)
+        grant = Grant(0.0, 2.0, 0, 0, lent=(ExtraCopies("a", "", 3),))
+        for age_s in (0.01, LOAN_EXPIRY_S + 0.01):
+            client._clock = functools.partial(float, age_s)
+            client._handle(ControlMessage(SEED, grant))
+
+    asyncio.run(run())
+    assert [[loan.copies for loan in loans] for loans in lent] == [[3], [0]]
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -52,6 +52,7 @@
         IN_PROGRESS: An earlier request with the same idempotency key may be
             running or may have run.
         INVALID: The request violates a rule for its format or its route.
+        INTERNAL: The entry failed to handle the request.
     """
 
     TIMEOUT = "timeout"
@@ -73,6 +74,7 @@
     KEY_REUSED = "key_reused"
     IN_PROGRESS = "in_progress"
     INVALID = "invalid"
+    INTERNAL = "internal"
 
 
 @dataclass(frozen=True, slots=True)
