--- a/berylspool/platform/upstream.py
+++ b/berylspool/platform/upstream.py
@@ -152,6 +152,7 @@
         self._is_close_planned = False
         self._has_stale_response = False
         self._echoes_ids = False
+        self._sent_id = ""
         self._keep_alive = ""
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._timeout: Timeout | None = None
@@ -249,6 +250,7 @@
                 message.part, self._upstream, message.timeout_s
             )
         )
+        self._sent_id = self._encoder.request_id
 
     def report_response(self, response: Response) -> None:
         """Report a whole response to the pool."""
@@ -264,8 +266,7 @@
             return
         if forward is not None and echoed_id:
             self._echoes_ids = True
-            sent_id = _header_value(forward.headers, headers.REQUEST_ID)
-            if echoed_id != sent_id:
+            if echoed_id != self._sent_id:
                 # A response to an earlier request; the pending one may follow.
                 self._has_stale_response = True
                 return
@@ -312,11 +313,6 @@
         self._has_stopped.set()
 
 
-def _header_value(pairs: tuple[tuple[str, str], ...], name: str) -> str:
-    lower_name = name.lower()
-    return next((v for n, v in pairs if n.lower() == lower_name), "")
-
-
 class PlatformTransport:
     """Creates connections to the platform's upstreams.
 
--- a/berylspool/platform/upstream_codec.py
+++ b/berylspool/platform/upstream_codec.py
@@ -37,6 +37,11 @@
 MS_PER_S = 1000.0
 
 
+REQUEST_ID_NAME = headers.REQUEST_ID.lower()
+# Small numbers repeat; each answer states three.
+MAX_CACHED_LOADS = 4096
+
+
 @dataclass(slots=True)
 class Response:
     """An HTTP response while it is received.
@@ -78,9 +83,13 @@
     """Encodes copies of forwarded parts as HTTP requests.
 
     All parts of a request share its head, which is encoded once.
+
+    Attributes:
+        request_id: Id in the request that was encoded last; empty without one.
     """
 
     def __init__(self) -> None:
+        self.request_id = ""
         self._forward: Forward | None = None
         self._head = ""
         self._rest = b""
@@ -110,6 +119,9 @@
     def _encode_shared(self, forward: Forward) -> None:
         lines = [f"{forward.method} {forward.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in forward.headers]
+        self.request_id = next(
+            (v for n, v in forward.headers if n.lower() == REQUEST_ID_NAME), ""
+        )
         lines.append(f"{headers.REQUEST_DEADLINE}: ")
         self._head = "\r\n".join(lines)
         length = ""
@@ -171,8 +183,11 @@
 def decode_load(response: Response) -> ReportedLoad | None:
     """Return the load that a response reports, or None if it has none."""
     text = response.get(headers.SERVER_LOAD)
-    if not text:
-        return None
+    return _parse_load(text) if text else None
+
+
+@functools.lru_cache(maxsize=MAX_CACHED_LOADS)
+def _parse_load(text: str) -> ReportedLoad | None:
     numbers = [
         headers.parse_whole_number(number.strip()) for number in text.split(",")
     ]
