A request that comes before the first plan waits for it while it can be served

Cause: after a restart of everything, entries accepted requests 0.6 to 0.7 s before they had a plan, and refused them after 0.4 s or a quarter of their deadline. Many of these callers had lost their first try with the VM, and had none left.

Change: the wait is what is left of the expected second after a start, and half of the deadline at most; a refused caller is asked back when service is expected, spread over 0.3 s.

--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -26,7 +26,11 @@
     Leave,
     TableDrained,
 )
-from berylspool.process.entry.forwarding_state import ForwardingState
+from berylspool.process.entry.forwarding_state import (
+    ForwardingState,
+    plan_wait_s,
+    retry_without_plan_s,
+)
 from berylspool.process.entry.lag import TimerLag, early_margin_s, record_lag
 from berylspool.process.entry.reply_statistics import (
     ReplyStatistics,
@@ -89,12 +93,6 @@
 QUARANTINE_S = 60.0
 # Enough to write the last answers and to close a few hundred connections.
 CLOSE_TIMEOUT_S = 0.1
-# Approximate time to elect a leader of control and distribute its state.
-NO_PLAN_RETRY_S = 0.7
-# While control has a leader, a new process has its plan within this time.
-MAX_PLAN_WAIT_S = 0.4
-# Share of the deadline; leaves time for a second attempt at another entry.
-MAX_PLAN_WAIT_SHARE = 0.25
 
 
 class CallerListener(Protocol):
@@ -156,6 +154,7 @@
             clock=clock,
         )
         self._clock = clock
+        self._started_at = clock()
         self._query_serial = 0
         self._timer_lag = TimerLag()
         self._tasks: list[asyncio.Task[None]] = []
@@ -169,6 +168,7 @@
             on_borrow=lambda key, copies: self.control.inbox.put(
                 ExtraCopies(*key, copies)
             ),
+            on_upstream=lambda seen: self.control.inbox.put(seen),
             transport=transport,
         )
         host, port = split_address(self.own_settings.peer_address)
@@ -186,6 +186,7 @@
             get_convicted=lambda: tuple(self._evidence.convicted_at),
             on_convicted=self._adopt_convictions,
             on_lent=self.router.receive_loans,
+            on_judged=self.router.receive_judgements,
             control_port=control_port,
         )
 
@@ -271,7 +272,8 @@
     ) -> Refusal | None:
         """Return a refusal if the request cannot be served now, else None."""
         if not self.state.initialized.is_set():
-            return Refusal(request.id, Reason.NO_CONTROL, True, NO_PLAN_RETRY_S)
+            retry_s = retry_without_plan_s(self._clock() - self._started_at)
+            return Refusal(request.id, Reason.NO_CONTROL, True, retry_s)
         if caller_gone.is_set():
             return Refusal(request.id, Reason.CANCELLED, True, 0.0)
         return None
@@ -297,9 +299,8 @@
 
     async def _wait_for_plan(self, request: ForwardRequest) -> None:
         """Wait briefly, as a process that has just started gets a plan soon."""
-        timeout_s = MAX_PLAN_WAIT_S
-        if request.deadline_s is not None:
-            timeout_s = min(timeout_s, request.deadline_s * MAX_PLAN_WAIT_SHARE)
+        uptime_s = self._clock() - self._started_at
+        timeout_s = plan_wait_s(uptime_s, request.deadline_s)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_s):
                 await self.state.initialized.wait()
--- a/berylspool/process/entry/forwarding_state.py
+++ b/berylspool/process/entry/forwarding_state.py
@@ -1,6 +1,7 @@
 """Plan, moves and listing in force at a forwarding entry."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -17,7 +18,12 @@
 )
 from berylspool.version.move import Move
 
-__all__ = ["ForwardView", "ForwardingState"]
+__all__ = [
+    "ForwardView",
+    "ForwardingState",
+    "plan_wait_s",
+    "retry_without_plan_s",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +39,48 @@
     move_by_service: dict[str, Move] = field(default_factory=dict)
 
 
+# Time from a start of all processes to the first plan: links, the election, the
+# list of upstreams.
+EXPECTED_START_S = 1.0
+# Share of the deadline; the rest is enough to serve the request.
+MAX_PLAN_WAIT_SHARE = 0.5
+# Entries that start later than control have a plan within this time.
+MIN_PLAN_WAIT_S = 0.4
+MIN_RETRY_S = 0.1
+# Callers that were refused together return over this time.
+RETRY_SPREAD_S = 0.3
+
+
+def plan_wait_s(uptime_s: float, deadline_s: float | None) -> float:
+    """Return how long a request waits for the first plan of a process.
+
+    While all processes start, every other entry is without a plan, too, so a
+    request is served sooner by waiting than by asking elsewhere.
+
+    Args:
+        uptime_s: Time since the process started, in seconds.
+        deadline_s: Time that the caller waits, in seconds; None if not stated.
+
+    Examples:
+        >>> plan_wait_s(0.0, 8.0), plan_wait_s(0.0, 0.8), plan_wait_s(60.0, 8.0)
+        (1.0, 0.4, 0.4)
+    """
+    wait_s = max(EXPECTED_START_S - uptime_s, MIN_PLAN_WAIT_S)
+    if deadline_s is None:
+        return wait_s
+    return min(wait_s, deadline_s * MAX_PLAN_WAIT_SHARE)
+
+
+def retry_without_plan_s(uptime_s: float) -> float:
+    """Return when a caller should return that got no plan in time, in seconds.
+
+    Args:
+        uptime_s: Time since the process started, in seconds.
+    """
+    rest_s = max(EXPECTED_START_S - uptime_s, MIN_RETRY_S)
+    return rest_s + random.uniform(0.0, RETRY_SPREAD_S)
+
+
 class ForwardingState:
     """Holds the newest state from control and publishes it as one view.
 
