Entries tell each other of slow upstreams, and new leaders forget old listings

Also: a node that led again after another had led handed entries that had just started its old listing, with upstreams that had left since.

A listing of another term is dropped.

The test of the listing fails without the change.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -29,6 +29,7 @@
     "ServicePlaced",
     "SettingsReloaded",
     "SilentReplaced",
+    "SlowUpstreamJudged",
     "StorageFailed",
     "UpstreamChanged",
     "UpstreamNoticed",
@@ -300,6 +301,15 @@
     error: str
 
 
+@dataclass(frozen=True, slots=True)
+class SlowUpstreamJudged(Event):
+    """Entries agree that an upstream is slow, or that it no longer is."""
+
+    number: ClassVar[int] = 4010
+    upstream: str
+    slowness: float
+
+
 @dataclass(frozen=True, slots=True)
 class ListingFailed(Event):
     """The list of upstreams could not be read; the last one stays in use."""
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -13,6 +13,10 @@
 from berylspool.request.ledger import Intend, LedgerReply, Settle
 from berylspool.version.configuration import Configuration
 from berylspool.version.listing import ListedUpstream, Listing
+from berylspool.version.upstream.slow_upstreams import (
+    JudgedUpstream,
+    ObservedUpstream,
+)
 
 __all__ = [
     "Addressed",
@@ -29,6 +33,7 @@
     "NotLeader",
     "TableDelta",
     "TableSent",
+    "UpstreamsJudged",
     "Tally",
     "make_control_codec",
 ]
@@ -93,7 +98,9 @@
         convicted: Fingerprints of requests that the entry no longer sends
             because they crash upstreams.
         wanted: Copies that pools of the entry ask for.
-        accepts_packed: Whether the entry accepts `Packed` messages.
+        accepts_packed: Whether the entry accepts `Packed` messages, and
+            judgements on upstreams.
+        observed: What the entry has observed of upstreams.
     """
 
     member: Member
@@ -109,6 +116,7 @@
     convicted: tuple[str, ...] = ()
     wanted: tuple[ExtraCopies, ...] = ()
     accepts_packed: bool = False
+    observed: tuple[ObservedUpstream, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +168,17 @@
     gone: tuple[str, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamsJudged:
+    """What all entries together have found of upstreams.
+
+    Attributes:
+        judged: New and renewed judgements.
+    """
+
+    judged: tuple[JudgedUpstream, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class TableSent:
     """A complete member table."""
@@ -303,5 +322,6 @@
             Announce,
             FoundingQuery,
             FoundingReply,
+            UpstreamsJudged,
         ]
     )
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -33,6 +33,7 @@
     "add_delta",
     "add_table",
     "configuration_update",
+    "drop_listing_of_other_terms",
     "entry_updates",
     "heartbeat_event",
     "listing_update",
@@ -152,6 +153,23 @@
     del distribution.listing_deltas[:-MAX_LISTING_DELTAS]
 
 
+def drop_listing_of_other_terms(
+    distribution: DistributionState, term: int
+) -> None:
+    """Drop a listing that was read in an earlier term.
+
+    Upstreams may have left since, while another node led; an entry that has
+    just started would use them again.
+
+    Args:
+        distribution: State to change in place.
+        term: Term in which this node leads.
+    """
+    if distribution.listing.epoch != term:
+        distribution.listing = Listing()
+        distribution.listing_deltas.clear()
+
+
 def listing_update(
     distribution: DistributionState, entry_listing: tuple[int, int]
 ) -> Sequence[ListingDelta | ListingSent]:
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -1,11 +1,14 @@
 """Sessions of the entries that are connected to a control node."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
+from berylspool.common.event import Event, SlowUpstreamJudged
 from berylspool.connection.control_message import (
     DeltaSent,
     Heartbeat,
     NotLeader,
+    UpstreamsJudged,
 )
 from berylspool.connection.message import MemberTable
 from berylspool.connection.peer import Session
@@ -15,6 +18,7 @@
     EntryState,
     add_delta,
     add_table,
+    drop_listing_of_other_terms,
     entry_updates,
     make_grant,
     newest_state,
@@ -26,6 +30,11 @@
 from berylspool.process.group.replica import Replica
 from berylspool.process.settings import Settings
 from berylspool.version.listing import ListedUpstream
+from berylspool.version.upstream.slow_upstreams import (
+    SlowUpstreams,
+    all_judgements,
+    judge,
+)
 
 __all__ = ["EntrySessions"]
 
@@ -61,9 +70,16 @@
     Args:
         replica: Replica of this control node.
         settings: Settings of the deployment.
+        log: Called with each log event.
     """
 
-    def __init__(self, replica: Replica, settings: Settings) -> None:
+    def __init__(
+        self,
+        replica: Replica,
+        settings: Settings,
+        log: Callable[[Event], None],
+    ) -> None:
+        self._log = log
         self._replica = replica
         self._lease_s = settings.lease_s
         self._routing = settings.routing
@@ -72,6 +88,7 @@
         self._entry_by_session_id: dict[str, EntrySession] = {}
         # State that all entries with a lease have, or have been sent.
         self._pushed_state = EntryState()
+        self._slow_upstreams = SlowUpstreams()
 
     def answer_heartbeat(
         self, session: Session, heartbeat: Heartbeat, now: float
@@ -81,11 +98,27 @@
         record_convicted(self._distribution, heartbeat.convicted, now)
         if not self._replica.has_quorum_contact():
             self._lending = None
+            self._slow_upstreams = SlowUpstreams()
             entry.awaits_leader = True
             self._pushed_state = EntryState()
             session.inbox.put(NotLeader(self._replica.leader))
             return
         self._grant(entry, now)
+        self._tell_judgements(heartbeat, now)
+
+    def _tell_judgements(self, heartbeat: Heartbeat, now: float) -> None:
+        """Judge upstreams by an entry's reports; tell entries what changed."""
+        judged = judge(
+            self._slow_upstreams, heartbeat.member.name, heartbeat.observed, now
+        )
+        if not judged:
+            return
+        for judgement in judged:
+            self._log(SlowUpstreamJudged(judgement.id, judgement.slowness))
+        message = UpstreamsJudged(tuple(judged))
+        for entry in self._entry_by_session_id.values():
+            if entry.heartbeat.accepts_packed:
+                entry.session.inbox.put(message)
 
     def _record_heartbeat(
         self, session: Session, heartbeat: Heartbeat, now: float
@@ -95,6 +128,9 @@
         if entry is None:
             entry = EntrySession(session, heartbeat, reported)
             self._entry_by_session_id[session.id] = entry
+            judged = all_judgements(self._slow_upstreams, now)
+            if judged and heartbeat.accepts_packed:
+                session.inbox.put(UpstreamsJudged(tuple(judged)))
         entry.heartbeat = heartbeat
         # The heartbeat may have been sent before an update arrived that is on
         # its way; what is sent on a session arrives in order.
@@ -105,6 +141,8 @@
     def _grant(self, entry: EntrySession, now: float) -> None:
         """Send what an entry lacks, followed by the lease."""
         entry.awaits_leader = False
+        term = self._replica.node.term
+        drop_listing_of_other_terms(self._distribution, term)
         if self._lending is None:
             self._lending = CopyLending(self._routing, now)
         newest = newest_state(self._distribution, self._replica.state)
@@ -148,6 +186,8 @@
         """
         if not self._replica.has_quorum_contact():
             return
+        term = self._replica.node.term
+        drop_listing_of_other_terms(self._distribution, term)
         newest = newest_state(self._distribution, self._replica.state)
         if newest == self._pushed_state:
             return
--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -175,7 +175,9 @@
             platform.voter_count,
             clock,
         )
-        self._entry_sessions = EntrySessions(self.replica, settings)
+        self._entry_sessions = EntrySessions(
+            self.replica, settings, self._log.put
+        )
         self._command_handler = OperatorCommandHandler(self)
         self._server = LinkServer(
             make_control_codec(),
--- a/berylspool/process/control/tests/test_entry_sessions.py
+++ b/berylspool/process/control/tests/test_entry_sessions.py
@@ -17,6 +17,7 @@
     ListingDelta,
     ListingSent,
     NotLeader,
+    UpstreamsJudged,
     make_control_codec,
 )
 from berylspool.connection.message import Member
@@ -35,6 +36,7 @@
 from berylspool.process.settings import Settings
 from berylspool.version.configuration import Configuration, Document, Upstream
 from berylspool.version.listing import ListedUpstream
+from berylspool.version.upstream.slow_upstreams import ObservedUpstream
 
 CODEC = make_control_codec()
 DOCUMENT_BYTES = 4000
@@ -104,7 +106,7 @@
 
 @pytest.fixture
 def sessions(replica):
-    return EntrySessions(replica, Settings())
+    return EntrySessions(replica, Settings(), lambda event: None)
 
 
 def kinds(messages):
@@ -223,3 +225,47 @@
         listing = make_listing(20, started_at_ms=number)
         replace_listing(distribution, 1, listing)
     assert kinds(listing_update(distribution, (1, 1))) == [ListingSent]
+
+
+def test_entry_that_starts_gets_no_listing_of_an_earlier_lead(
+    replica, sessions
+):
+    """Upstreams may have left while another node led."""
+    sessions.store_listing(make_listing(20))
+    replica.leads = False
+    sessions.push_updates(0.0)
+    replica.leads, replica.node.term = True, 3
+    session = FakeSession("1")
+    sessions.answer_heartbeat(session, make_heartbeat(), 10.0)
+    assert kinds(session.received()) == [Grant]
+    sessions.store_listing(make_listing(5))
+    sessions.push_updates(10.1)
+    [sent] = session.received()
+    assert sent.listing.epoch == 3 and len(sent.listing.listed_by_id) == 5
+
+
+def test_entries_are_told_of_slow_upstreams_and_newcomers_too(
+    replica, sessions
+):
+    listeners = [FakeSession(str(number)) for number in range(4)]
+    for step in range(6):
+        now = step * 0.1
+        for number, session in enumerate(listeners):
+            heartbeat = dataclasses.replace(
+                make_heartbeat(packed=number < 3),
+                member=Member(f"e{number}", "127.0.0.1", 1),
+                observed=(ObservedUpstream("i-1", 6.0),),
+            )
+            sessions.answer_heartbeat(session, heartbeat, now)
+    newcomer = FakeSession("new")
+    sessions.answer_heartbeat(newcomer, make_heartbeat(), 1.0)
+    for session in (*listeners[:3], newcomer):
+        judged = [
+            judgement.id
+            for message in session.received()
+            if isinstance(message, UpstreamsJudged)
+            for judgement in message.judged
+        ]
+        assert judged == ["i-1"]
+    # An entry of an older build would close its link.
+    assert UpstreamsJudged not in kinds(listeners[3].inbox)
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -24,6 +24,7 @@
     TableDelta,
     TableSent,
     Tally,
+    UpstreamsJudged,
 )
 from berylspool.connection.message import Member, MemberTable
 from berylspool.process.control.membership import apply_table_difference
@@ -32,8 +33,10 @@
     ControlLinkOpened,
     ControlMessage,
     Leave,
+    Observations,
     PendingLedgerRequest,
     TableDrained,
+    without_copies,
 )
 from berylspool.process.settings import Settings
 from berylspool.request.ledger import (
@@ -46,6 +49,10 @@
 from berylspool.version.listing import Listing, apply_difference
 from berylspool.version.operation import operation_codec
 from berylspool.version.revision import apply_operations
+from berylspool.version.upstream.slow_upstreams import (
+    JudgedUpstream,
+    UpstreamObserved,
+)
 
 __all__ = ["ControlClient"]
 
@@ -54,6 +61,8 @@
 LEADER_TIMEOUT_S = 1.0
 # Heartbeat interval without a known leader: as often as control nodes vote.
 LEADER_SEARCH_INTERVAL_S = 0.1
+# Control counts a loan when it lends it; a much later use would fall into a
+# window of the budget that other entries may use in full.
 LOAN_EXPIRY_S = 0.5
 LEDGER_RESEND_INTERVAL_S = 0.3
 LEDGER_TIMEOUT_S = 5.0
@@ -77,6 +86,7 @@
             longer sends.
         on_convicted: Called with the fingerprints that any entry has convicted.
         on_lent: Called with the copies that control has lent.
+        on_judged: Called with judgements on upstreams.
         control_port: Port of control nodes that are named by their address;
             None if the settings name all of them.
 
@@ -101,6 +111,9 @@
         get_convicted: Callable[[], tuple[str, ...]] = lambda: (),
         on_convicted: Callable[[tuple[str, ...]], None] = lambda _: None,
         on_lent: Callable[[tuple[ExtraCopies, ...]], None] = lambda lent: None,
+        on_judged: Callable[[tuple[JudgedUpstream, ...]], None] = lambda _: (
+            None
+        ),
         control_port: int | None = None,
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
@@ -117,6 +130,8 @@
         self._get_convicted = get_convicted
         self._on_convicted = on_convicted
         self._on_lent = on_lent
+        self._on_judged = on_judged
+        self._observations = Observations()
         self._wanted_by_pool: dict[tuple[str, str], ExtraCopies] = {}
         self._listing = Listing()
         self._granted_at = float("-inf")
@@ -126,8 +141,7 @@
         self._table = MemberTable()
         self._drained_epoch = 0
         self._is_leaving = False
-        # Whether the next heartbeat reports more than the time; it is then sent
-        # at once, after all messages that came together.
+        # Whether a heartbeat is due after all messages that came together.
         self._has_news = False
         self._is_lease_held = False
         self._lease_until = float("-inf")
@@ -188,6 +202,7 @@
             self._get_convicted(),
             tuple(self._wanted_by_pool.values()),
             accepts_packed=True,
+            observed=self._observations.take(self._clock()),
         )
 
     def _send_heartbeat(self) -> None:
@@ -212,8 +227,7 @@
         if self._knows_leader():
             self._links.send(self._leader, self._build_heartbeat())
         else:
-            wanted = self._wanted_by_pool.values()
-            self._on_lent(tuple(replace(w, copies=0) for w in wanted))
+            self._on_lent(without_copies(self._wanted_by_pool.values()))
         self._wanted_by_pool.clear()
 
     def _log_lease_change(self) -> None:
@@ -233,19 +247,20 @@
                 if pool in self._wanted_by_pool:
                     copies += self._wanted_by_pool[pool].copies
                 self._wanted_by_pool[pool] = replace(message, copies=copies)
+            case UpstreamObserved():
+                self._observations.add(message)
             case Leave():
                 self._is_leaving = True
                 self._has_news = True
             case LedgerRequest(request=request):
                 now = self._clock()
-                pending = PendingLedgerRequest(
-                    message, now, now + LEDGER_TIMEOUT_S
-                )
+                give_up_at = now + LEDGER_TIMEOUT_S
+                pending = PendingLedgerRequest(message, now, give_up_at)
                 key = (request.request_id, isinstance(request, Settle))
                 self._pending_by_key[key] = pending
                 self._send_ledger_request(pending)
-            case ControlMessage(node=node, message=control_message):
-                self._handle_control_message(node, control_message)
+            case ControlMessage(node=node, message=inner):
+                self._handle_control_message(node, inner)
             case ControlLinkOpened(node=node):
                 self._log(LinkChanged(node, "up"))
                 if not self._knows_leader():
@@ -269,6 +284,8 @@
                         message.left,
                     )
                 )
+            case UpstreamsJudged(judged=judged):
+                self._on_judged(judged)
             case ConfigurationSent(configuration=configuration):
                 self._apply_configuration(configuration)
             case DeltaSent():
@@ -314,14 +331,8 @@
         """
         self._leader = node
         self._granted_at = self._clock()
-        # Control counts a loan when it lends it; a later use would fall into a
-        # window that other entries may use in full.
-        is_fresh = self._clock() - grant.sent_at <= LOAN_EXPIRY_S
-        self._on_lent(
-            grant.lent
-            if is_fresh
-            else tuple(replace(loan, copies=0) for loan in grant.lent)
-        )
+        is_fresh = self._granted_at - grant.sent_at <= LOAN_EXPIRY_S
+        self._on_lent(grant.lent if is_fresh else without_copies(grant.lent))
         if grant.convicted:
             self._on_convicted(grant.convicted)
         if grant.controls and self._has_addressed_nodes:
--- a/berylspool/process/entry/control_client_message.py
+++ b/berylspool/process/entry/control_client_message.py
@@ -1,16 +1,24 @@
-"""Messages to the control client task, and its pending requests."""
+"""Messages to the control client task, and what it has not sent yet."""
 
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
 from typing import Any
 
+from berylspool.connection.control_message import ExtraCopies
 from berylspool.request.ledger import LedgerRequest
+from berylspool.version.upstream.slow_upstreams import (
+    ObservedUpstream,
+    UpstreamObserved,
+)
 
 __all__ = [
     "ControlLinkOpened",
     "ControlMessage",
     "Leave",
+    "Observations",
     "PendingLedgerRequest",
     "TableDrained",
+    "without_copies",
 ]
 
 
@@ -58,3 +66,45 @@
     submission: LedgerRequest
     sent_at: float
     expires_at: float
+
+
+# A busy entry meets as many slow upstreams in one interval only if it is slow
+# itself.
+MAX_OBSERVED = 64
+
+
+@dataclass(slots=True)
+class Observations:
+    """Observations of upstreams that no heartbeat has reported yet.
+
+    Attributes:
+        observed_by_upstream: Newest observation of each upstream.
+    """
+
+    observed_by_upstream: dict[str, UpstreamObserved] = field(
+        default_factory=dict
+    )
+
+    def add(self, observed: UpstreamObserved) -> None:
+        """Add an observation; it replaces an earlier one of the upstream."""
+        self.observed_by_upstream[observed.id] = observed
+
+    def take(self, now: float) -> tuple[ObservedUpstream, ...]:
+        """Take the observations, up to a limit; drop the rest.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        taken = list(self.observed_by_upstream.values())[:MAX_OBSERVED]
+        self.observed_by_upstream.clear()
+        return tuple(
+            ObservedUpstream(seen.id, round(seen.slowness, 2), now - seen.at)
+            for seen in taken
+        )
+
+
+def without_copies(
+    loans: Iterable[ExtraCopies],
+) -> tuple[ExtraCopies, ...]:
+    """Return loans to the same pools that lend nothing."""
+    return tuple(replace(loan, copies=0) for loan in loans)
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -1,6 +1,7 @@
 """The router task, which owns the routing state, the pools and the links."""
 
 import asyncio
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -67,6 +68,11 @@
 from berylspool.version.pool.pool_set import PoolListener, PoolSet
 from berylspool.version.pool.state import PoolTuning
 from berylspool.version.pool.transport import Transport
+from berylspool.version.upstream.slow_upstreams import (
+    JudgedUpstream,
+    UpstreamJudged,
+    UpstreamObserved,
+)
 
 __all__ = ["Router"]
 
@@ -74,7 +80,12 @@
 
 
 RouterMessage = (
-    RoutingEvent | PoolMessage | Subscribe | Unsubscribe | UpstreamsListed
+    RoutingEvent
+    | PoolMessage
+    | Subscribe
+    | Unsubscribe
+    | UpstreamsListed
+    | UpstreamJudged
 )
 
 
@@ -92,6 +103,8 @@
             the statistics by version.
         on_borrow: Called with the key of a pool and the number of extra copies
             that it asks control for.
+        on_upstream: Called with what is worth telling the other entries of an
+            upstream.
         transport: Protocol spoken to upstreams; the project's own if None.
 
     Attributes:
@@ -111,6 +124,7 @@
         on_table_drained: Callable[[int], None] = lambda epoch: None,
         on_reply: Callable[[ObservedReply], None] = lambda reply: None,
         on_borrow: Callable[[PoolKey, int], None] = lambda key, copies: None,
+        on_upstream: Callable[[UpstreamObserved], None] = lambda observed: None,
         transport: Transport | None = None,
     ) -> None:
         self.inbox: Mailbox[RouterMessage] = Mailbox()
@@ -133,6 +147,7 @@
                 on_borrow=on_borrow,
                 on_drained=lambda key: self.inbox.put(PoolDrained(key)),
                 on_observed=on_reply,
+                on_upstream=on_upstream,
                 log=log,
             ),
             clock=clock,
@@ -170,6 +185,19 @@
             key = (loan.service, loan.version)
             self.inbox.put(LoanReceived(key, loan.copies))
 
+    def receive_judgements(self, judged: tuple[JudgedUpstream, ...]) -> None:
+        """Queue what all entries together have found of upstreams.
+
+        Entries try a slow upstream again at different times, so that the first
+        one can tell the others whether it is still slow.
+        """
+        now = self._clock()
+        for judgement in judged:
+            valid_s = judgement.valid_s * random.uniform(1.0, 2.0)
+            self.inbox.put(
+                UpstreamJudged(judgement.id, judgement.slowness, now + valid_s)
+            )
+
     def _handle(self, message: RouterMessage) -> None:
         match message:
             case Subscribe(request_id=request_id, inbox=inbox):
@@ -180,6 +208,8 @@
                 self._pools.forget_unlisted(ids)
             case PoolMessage():
                 self._pools.receive(message)
+            case UpstreamJudged():
+                self._pools.judge(message)
             case _:
                 for action in step(self.routing, message, self._clock()):
                     self._perform(action)
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -16,6 +16,7 @@
     describe_abandoned,
     describe_choice,
     on_attempt_answered,
+    record_unanswered,
 )
 from berylspool.version.pool.availability import (
     make_refusal,
@@ -81,6 +82,7 @@
     on_instance_report,
     on_send,
 )
+from berylspool.version.upstream.slow_upstreams import UpstreamJudged
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
@@ -127,6 +129,10 @@
             actions = []
         case CopiesLent(copies=copies):
             actions = on_copies_lent(pool, copies, now)
+        case UpstreamJudged(slowness=slowness, valid_until=valid_until):
+            view = pool.view_by_upstream[event.id]
+            view.apply_judgement(slowness, valid_until, now)
+            actions = []
         case CloseRequested():
             actions = _on_close_requested(pool)
         case Tick():
@@ -315,6 +321,9 @@
     if job is None or not job.part.idempotent:
         return []
     abandoned = Log(describe_abandoned(pool, job, now))
+    if not is_caller_gone:
+        for attempt in job.attempt_by_id.values():
+            record_unanswered(pool, attempt, now)
     actions = fail_job(pool, job, Reason.CANCELLED, is_caller_gone)
     return [abandoned, *(a for a in actions if not isinstance(a, SendResult))]
 
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -28,7 +28,6 @@
     OutrunReply,
     PoolAction,
     RowsReply,
-    UpstreamReply,
 )
 from berylspool.version.pool.quarantine import (
     Verdict,
@@ -46,16 +45,17 @@
 )
 from berylspool.version.upstream.notices import on_instance_changed
 from berylspool.version.upstream.slow_start import (
-    REFUSAL_BACKOFF_S,
     is_warm,
-    on_answer,
-    on_cold_report,
     on_instance_report,
 )
+from berylspool.version.upstream.slow_upstreams import (
+    UpstreamObserved,
+    is_worth_reporting,
+)
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
-    raise_slots_after_pause,
+    update_from_reply,
 )
 
 __all__ = [
@@ -64,6 +64,7 @@
     "describe_choice",
     "on_attempt_answered",
     "on_attempt_lost",
+    "record_unanswered",
 ]
 
 MS_PER_S = 1000.0
@@ -105,9 +106,9 @@
     latency_s = now - attempt.sent_at
     if view is not None:
         _record_connection_use(pool, view, event.connection_id, attempt, now)
-        _update_from_reply(view, event.reply, now)
+        update_from_reply(view, event.reply, now)
         if isinstance(event.reply, RowsReply):
-            _record_latency(pool, view, attempt, latency_s, now)
+            _record_latency(pool, view, attempt, latency_s, now, is_answer=True)
         if event.load is not None:
             view.record_load(event.load, now)
     job = pool.job_by_part.get(attempt.part_id)
@@ -178,8 +179,7 @@
     is_warm_now = view is not None and is_warm(
         view.slow_start, view.limits, now
     )
-    if view is not None and elapsed_s > view.latency_s:
-        _record_latency(pool, view, attempt, elapsed_s, now)
+    record_unanswered(pool, attempt, now)
     return ObservedReply(job.part, OutrunReply(), elapsed_s, is_warm_now)
 
 
@@ -189,7 +189,7 @@
     """Update an upstream's state from a refusal of an attempt that ended."""
     view = _find_view(pool, event.connection_id)
     if view is not None and isinstance(event.reply, NotRunReply):
-        _update_from_reply(view, event.reply, now)
+        update_from_reply(view, event.reply, now)
 
 
 def _record_duration(pool: Pool, job: Job, elapsed_s: float) -> None:
@@ -199,43 +199,33 @@
         record_duration(pool.hedge_delay, elapsed_s)
 
 
+def record_unanswered(pool: Pool, attempt: Attempt, now: float) -> None:
+    """Record the time so far of a copy that is no longer needed."""
+    elapsed_s = now - attempt.sent_at
+    view = pool.view_by_upstream.get(attempt.upstream_id)
+    if view is not None and elapsed_s > view.latency_s:
+        _record_latency(pool, view, attempt, elapsed_s, now, is_answer=False)
+
+
 def _record_latency(
     pool: Pool,
     view: UpstreamView,
     attempt: Attempt,
     latency_s: float,
     now: float,
+    *,
+    is_answer: bool,
 ) -> None:
     """Add an answer time to the averages of an upstream and of the route."""
     usual_by_route = pool.usual_latency_by_route
     usual_s = usual_by_route.setdefault(attempt.route, latency_s)
-    view.record_latency(latency_s, usual_s, now)
+    slowness = view.record_latency(latency_s, usual_s, now)
+    if is_worth_reporting(slowness, is_answer, now < view.judged_until):
+        pool.observed.append(UpstreamObserved(view.upstream.id, slowness, now))
     usual_s += USUAL_LATENCY_EWMA_WEIGHT * (latency_s - usual_s)
     usual_by_route[attempt.route] = usual_s
 
 
-def _update_from_reply(
-    view: UpstreamView, reply: UpstreamReply, now: float
-) -> None:
-    """Update an upstream's state from a reply, even to a part that ended."""
-    match reply:
-        case RowsReply():
-            on_answer(view.slow_start, now)
-            view.record_reply(is_refusal=False, now=now)
-            raise_slots_after_pause(view)
-            view.reconnect_delay_s = 0.0
-        case NotRunReply(reason=Reason.OVERLOAD):
-            view.record_reply(is_refusal=True, now=now)
-            view.slow_start.backoff_until = now + REFUSAL_BACKOFF_S
-        case NotRunReply(reason=Reason.COLD):
-            on_cold_report(view.slow_start)
-            view.slow_start.backoff_until = now + REFUSAL_BACKOFF_S
-        case NotRunReply(reason=Reason.SHUTTING_DOWN | Reason.NO_UPSTREAM):
-            # Another instance answers at this address, or the upstream is
-            # shutting down.
-            view.is_draining = True
-
-
 def _retry_after_refusal(
     pool: Pool, job: Job, reason: Reason, now: float
 ) -> list[PoolAction]:
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -14,6 +14,7 @@
 )
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.quarantine import Verdict
+from berylspool.version.upstream.slow_upstreams import UpstreamJudged
 
 __all__ = [
     "AttemptAnswered",
@@ -261,6 +262,7 @@
     | LeaseUpdated
     | CopiesLent
     | CloseRequested
+    | UpstreamJudged
     | Tick
 )
 
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -38,6 +38,10 @@
 from berylspool.version.pool.timing import max_wait_s
 from berylspool.version.pool.transport import ConnectionTask, Transport
 from berylspool.version.upstream.notices import NoticeMemory, forget_unlisted
+from berylspool.version.upstream.slow_upstreams import (
+    UpstreamJudged,
+    UpstreamObserved,
+)
 
 __all__ = ["PoolListener", "PoolSet"]
 
@@ -55,6 +59,8 @@
             parts or attempts left.
         on_observed: Receives each reply of an upstream and each outrun copy,
             for metrics and the evaluation of versions.
+        on_upstream: Receives what is worth telling the other entries of an
+            upstream.
         log: Receives log events.
     """
 
@@ -63,6 +69,7 @@
     on_borrow: Callable[[PoolKey, int], None]
     on_drained: Callable[[PoolKey], None]
     on_observed: Callable[[ObservedReply], None]
+    on_upstream: Callable[[UpstreamObserved], None]
     log: Callable[[Event], None]
 
 
@@ -176,10 +183,20 @@
             return
         for action in step(running.pool, event, self._clock()):
             self._perform(running, key, action)
+        if running.pool.observed:
+            for observed in running.pool.observed:
+                self._listener.on_upstream(observed)
+            running.pool.observed.clear()
         if isinstance(event, PoolReconfigured | Tick):
             self._sync_health_watches(running)
         self._changed_keys.add(key)
 
+    def judge(self, judged: UpstreamJudged) -> None:
+        """Tell the pools of an upstream how all entries judge it."""
+        for key, running in list(self._running_by_key.items()):
+            if judged.id in running.pool.view_by_upstream:
+                self.handle(key, judged)
+
     def run_due_pools(self) -> float | None:
         """Let the pools act whose time has come, and report drained ones.
 
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -19,10 +19,9 @@
     TimerKind,
 )
 from berylspool.version.pool.quarantine import VerdictTable, is_convicted
-from berylspool.version.upstream.balancing import (
-    BalancingPolicy,
-)
+from berylspool.version.upstream.balancing import BalancingPolicy
 from berylspool.version.upstream.notices import NoticeMemory
+from berylspool.version.upstream.slow_upstreams import UpstreamObserved
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
@@ -207,6 +206,7 @@
         noticed_until: Time until which a notice of one of the upstreams may
             hold, monotonic seconds.
         hedge_delay: Estimator of the hedge delay.
+        observed: Observations of upstreams that are not reported yet.
     """
 
     service: str
@@ -233,6 +233,7 @@
     borrow_after: float = float("-inf")
     notices: NoticeMemory = field(default_factory=NoticeMemory)
     noticed_until: float = float("-inf")
+    observed: list[UpstreamObserved] = field(default_factory=list)
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
--- a/berylspool/version/pool/tests/test_pool_set.py
+++ b/berylspool/version/pool/tests/test_pool_set.py
@@ -71,6 +71,7 @@
                 on_borrow=lambda key, copies: None,
                 on_drained=self.drained.append,
                 on_observed=lambda reply: None,
+                on_upstream=lambda observed: None,
                 log=lambda event: None,
             ),
             clock=lambda: self.now,
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -4,13 +4,22 @@
 import math
 from dataclasses import dataclass, field
 
+from berylspool.request.query import Reason
 from berylspool.version.configuration import Limits, Upstream
-from berylspool.version.pool.message import ReportedLoad
+from berylspool.version.pool.message import (
+    NotRunReply,
+    ReportedLoad,
+    RowsReply,
+    UpstreamReply,
+)
 from berylspool.version.upstream.slow_start import (
+    REFUSAL_BACKOFF_S,
     ColdRateLimit,
     SlowStart,
     allowed_slots,
     may_send,
+    on_answer,
+    on_cold_report,
 )
 
 __all__ = [
@@ -20,6 +29,7 @@
     "find_idle_connection",
     "free_slots",
     "raise_slots_after_pause",
+    "update_from_reply",
 ]
 
 LATENCY_EWMA_WEIGHT = 0.1
@@ -114,6 +124,10 @@
         slots_after_pause: Slots that it gets after a pause, which double with
             each answer; None without a limit.
         has_unusable_pause: Whether it has stated a pause that is no time.
+        judged_slowness: Slowness that all entries together have found.
+        judged_at: Time at which this entry was told, monotonic seconds; its own
+            newer answer times take precedence.
+        judged_until: End of that judgement, monotonic seconds.
     """
 
     upstream: Upstream
@@ -140,6 +154,9 @@
     paused_until: float = float("-inf")
     slots_after_pause: int | None = None
     has_unusable_pause: bool = False
+    judged_slowness: float = 1.0
+    judged_at: float = float("-inf")
+    judged_until: float = float("-inf")
 
     def record_load(self, load: ReportedLoad, now: float) -> None:
         """Record the share of a reported load that other entries cause."""
@@ -159,19 +176,23 @@
 
     def record_latency(
         self, latency_s: float, usual_s: float, now: float
-    ) -> None:
+    ) -> float:
         """Add one answer time to the moving averages.
 
         Args:
             latency_s: Answer time in seconds.
             usual_s: Usual answer time of the same route, in seconds.
             now: Monotonic time in seconds.
+
+        Returns:
+            The answer time as a multiple of the usual one.
         """
         self.latency_s += LATENCY_EWMA_WEIGHT * (latency_s - self.latency_s)
         weight = _sample_weight(now - self.last_answer_at)
         ratio = latency_s / max(usual_s, MIN_LATENCY_S)
         self.slowness += weight * (ratio - self.slowness)
         self.last_answer_at = now
+        return ratio
 
     def record_reply(self, is_refusal: bool, now: float) -> None:
         """Add one reply to the share of refusals."""
@@ -195,8 +216,18 @@
         slowness = 1.0 + (self.slowness - 1.0) * weight
         oldest_sent_at = min(self.sent_at_by_attempt.values(), default=now)
         overdue = (now - oldest_sent_at) / max(self.latency_s, MIN_LATENCY_S)
+        if self.judged_at > self.last_answer_at and now < self.judged_until:
+            slowness = max(slowness, self.judged_slowness)
         return max(slowness, overdue)
 
+    def apply_judgement(
+        self, slowness: float, valid_until: float, now: float
+    ) -> None:
+        """Expect a slowness until a time, or until a newer answer time."""
+        self.judged_slowness = slowness
+        self.judged_at = now
+        self.judged_until = valid_until
+
 
 def _sample_weight(age_s: float) -> float:
     """Return the weight of a sample, by the age of the one before."""
@@ -230,6 +261,28 @@
     return max(0, slots - view.in_flight)
 
 
+def update_from_reply(
+    view: UpstreamView, reply: UpstreamReply, now: float
+) -> None:
+    """Update an upstream's state from a reply, even to a part that ended."""
+    match reply:
+        case RowsReply():
+            on_answer(view.slow_start, now)
+            view.record_reply(is_refusal=False, now=now)
+            raise_slots_after_pause(view)
+            view.reconnect_delay_s = 0.0
+        case NotRunReply(reason=Reason.OVERLOAD):
+            view.record_reply(is_refusal=True, now=now)
+            view.slow_start.backoff_until = now + REFUSAL_BACKOFF_S
+        case NotRunReply(reason=Reason.COLD):
+            on_cold_report(view.slow_start)
+            view.slow_start.backoff_until = now + REFUSAL_BACKOFF_S
+        case NotRunReply(reason=Reason.SHUTTING_DOWN | Reason.NO_UPSTREAM):
+            # Another instance answers at this address, or the upstream is
+            # shutting down.
+            view.is_draining = True
+
+
 def raise_slots_after_pause(view: UpstreamView) -> None:
     """Let an upstream that has answered after a pause have more requests."""
     if view.slots_after_pause is not None:
