--- a/berylspool/version/upstream/slow_upstreams.py
+++ b/berylspool/version/upstream/slow_upstreams.py
@@ -30,6 +30,8 @@
 SLOW_RATIO = 2.5
 FAST_RATIO = 1.5
 MIN_REPORTERS = 3
+# An entry that has met few upstreams of a service may take a slow one for usual.
+MIN_FAST_REPORTERS = 2
 # Longer than the pauses in which upstreams collect garbage.
 MIN_SPAN_S = 0.4
 REPORT_WINDOW_S = 1.0
@@ -118,6 +120,7 @@
     slowness: float
     reported_at: float
     told_at: float
+    fast_reporters: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
@@ -182,7 +185,7 @@
         if report.slowness >= SLOW_RATIO:
             judgement = _add_sighting(state, entry, report, now)
         else:
-            judgement = _clear(state, report.id)
+            judgement = _add_fast_report(state, entry, report.id)
         if judgement is not None:
             judged.append(judgement)
     _drop_expired(state, now)
@@ -202,6 +205,7 @@
     verdict = state.verdict_by_upstream.get(report.id)
     if verdict is not None:
         verdict.reported_at = now
+        verdict.fast_reporters.clear()
         if now - verdict.told_at < RENEWAL_S:
             return None
         verdict.told_at = now
@@ -220,10 +224,17 @@
     return len(reporters) >= MIN_REPORTERS and span_s >= MIN_SPAN_S
 
 
-def _clear(state: SlowUpstreams, upstream_id: str) -> JudgedUpstream | None:
+def _add_fast_report(
+    state: SlowUpstreams, entry: str, upstream_id: str
+) -> JudgedUpstream | None:
     state.sightings_by_upstream.pop(upstream_id, None)
-    if state.verdict_by_upstream.pop(upstream_id, None) is None:
+    verdict = state.verdict_by_upstream.get(upstream_id)
+    if verdict is None:
+        return None
+    verdict.fast_reporters.add(entry)
+    if len(verdict.fast_reporters) < MIN_FAST_REPORTERS:
         return None
+    del state.verdict_by_upstream[upstream_id]
     return JudgedUpstream(upstream_id, 1.0, 0.0)
 
 
--- a/berylspool/version/upstream/tests/test_slow_upstreams.py
+++ b/berylspool/version/upstream/tests/test_slow_upstreams.py
@@ -74,11 +74,15 @@
     assert not any(judged)
 
 
-def test_fast_answer_ends_a_judgement():
+def test_fast_answers_of_several_entries_end_a_judgement():
     state = SlowUpstreams()
     for number in range(6):
         report(state, f"e{number}", number * 0.1)
     assert all_judgements(state, 0.6)
+    assert not report(state, "e1", 0.7, slowness=1.0)
+    assert not report(state, "e1", 0.8, slowness=1.0)
+    report(state, "e2", 0.9)
+    assert not report(state, "e3", 0.95, slowness=1.0)
     [cleared] = report(state, "e1", 1.0, slowness=1.0)
     assert cleared.slowness == 1.0
     assert not all_judgements(state, 1.0)
