A part whose connection does not open soon is connected elsewhere

Nothing woke the pool while a connection opened, so a dark upstream held a part for up to 0.25 s; on any other event, the next upstream was connected at once, also while the first one was just opening.

Change: a connection that opens for 20 ms counts as silent: the pool wakes then, connects the part to the next upstream and reports the silent one. Before, the part has one connection only. The soak fills disks, by a file that its settings name.

--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -163,7 +163,8 @@
         founders = tuple(
             sorted(n for n, c in settings.controls.items() if c.is_voter)
         )
-        storage = Storage(Path(self._node_settings.data_folder))
+        own = self._node_settings
+        storage = Storage(Path(own.data_folder), own.full_disk_marker)
         self.replica = Replica(
             name, storage, founders, is_init, clock, backup, platform.timing
         )
--- a/berylspool/process/group/storage.py
+++ b/berylspool/process/group/storage.py
@@ -11,6 +11,7 @@
 import io
 import os
 from pathlib import Path
+from typing import Any, cast
 
 import msgpack
 
@@ -37,6 +38,17 @@
 ERRORS_OF_FULL_DISK = (errno.ENOSPC, errno.EDQUOT)
 
 
+class _FileOnDiskThatFillsUp(io.FileIO):
+    """Refuses writes while a marker file exists, as a full disk does."""
+
+    marker = Path()
+
+    def write(self, data: Any) -> int:
+        if self.marker.exists():
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        return super().write(data)
+
+
 class Storage:
     """Owns the data folder of one control node.
 
@@ -44,6 +56,8 @@
 
     Args:
         folder: Data folder; created if it does not exist.
+        full_disk_marker: Path of a file; while it exists, writes are refused.
+            Empty if only the disk itself refuses them.
 
     Attributes:
         recovered: State recovered when the folder was opened.
@@ -53,8 +67,9 @@
         CorruptLogError: A file fails its checksums.
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, full_disk_marker: str = "") -> None:
         self._folder = folder
+        self._full_disk_marker = full_disk_marker
         self._log_path = folder / "log"
         self._snapshot_path = folder / "snapshot"
         self._unsynced_frames: list[bytes] = []
@@ -97,11 +112,18 @@
         self._write_frames([])
 
     def _open_log(self) -> io.FileIO:
-        # Without a buffer, no part of a refused write is written later.
-        log_file = open(self._log_path, "r+b", buffering=0)  # noqa: SIM115
+        log_file = self._open_unbuffered(self._log_path, "r+b")
         log_file.seek(0, os.SEEK_END)
         return log_file
 
+    def _open_unbuffered(self, path: Path, mode: str) -> io.FileIO:
+        """Open a file of which no part of a refused write is written later."""
+        if not self._full_disk_marker:
+            return cast(io.FileIO, open(path, mode, buffering=0))
+        file = _FileOnDiskThatFillsUp(path, mode)
+        file.marker = Path(self._full_disk_marker)
+        return file
+
     def save_identity(
         self, identity: str, message_senders: tuple[str, ...]
     ) -> None:
@@ -253,7 +275,7 @@
     def _replace_file(self, path: Path, data: bytes) -> None:
         temporary_path = path.with_suffix(".new")
         try:
-            with open(temporary_path, "wb", buffering=0) as file:
+            with self._open_unbuffered(temporary_path, "wb") as file:
                 rest = memoryview(data)
                 while rest:
                     rest = rest[file.write(rest) :]
--- a/berylspool/process/settings.py
+++ b/berylspool/process/settings.py
@@ -117,6 +117,8 @@
         data_folder: Folder on the VM's disk that holds the replica.
         is_voter: Whether it is a voter from its first start on; a replacement
             starts as a learner.
+        full_disk_marker: For tests: path of a file; while it exists, the data
+            folder refuses writes as a full disk does. Empty for none.
     """
 
     address: str = Field(pattern=ADDRESS_PATTERN)
@@ -124,6 +126,7 @@
     zone: str
     data_folder: str
     is_voter: bool = True
+    full_disk_marker: str = ""
 
 
 class StandinSettings(StrictModel):
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -32,6 +32,7 @@
     on_connection_lost,
     on_instance_report,
 )
+from berylspool.version.upstream.slow_upstreams import UpstreamObserved
 from berylspool.version.upstream.subsetting import (
     choose_subset,
     round_fraction,
@@ -40,7 +41,9 @@
     ConnectionState,
     ConnectionView,
     UpstreamView,
+    count_opening,
     free_slots,
+    has_silent_opening,
 )
 
 __all__ = [
@@ -58,6 +61,8 @@
 # Covers a 6 ms handshake that waits for a slot, plus a round trip between
 # zones. A connection that takes longer may never open.
 MAX_OPENING_S = 0.05
+# Slowness to report of an upstream that does not answer an opening connection.
+UNREACHABLE_SLOWNESS = 10.0
 # Active callers send again within a few seconds. An entry without requests for
 # longer opens no connection in advance, so its next part waits until one opens.
 UNUSED_AFTER_S = 10.0
@@ -216,12 +221,16 @@
             continue
         part_count = _count_parts_for(pool, view, jobs)
         min_new = int(keeps_one)
-        opened = _open_needed_connections(pool, view, part_count, min_new, now)
-        actions += opened
-        opened_count = sum(
-            isinstance(action, OpenConnection) for action in opened
+        actions += _open_needed_connections(
+            pool, view, part_count, min_new, now
         )
-        del jobs[:opened_count]
+        if has_silent_opening(view, now):
+            observed = UpstreamObserved(
+                view.upstream.id, UNREACHABLE_SLOWNESS, now
+            )
+            pool.observed.append(observed)
+            continue
+        del jobs[: min(part_count, count_opening(view))]
     if pool.queue:
         actions += _connect_outside_subset(pool, now)
     return actions
--- a/berylspool/version/pool/timing.py
+++ b/berylspool/version/pool/timing.py
@@ -9,7 +9,10 @@
 from berylspool.version.pool.message import TimerKind
 from berylspool.version.pool.state import Pool
 from berylspool.version.upstream.slow_start import next_send_at
-from berylspool.version.upstream.upstream_view import UpstreamView
+from berylspool.version.upstream.upstream_view import (
+    UpstreamView,
+    opening_is_silent_at,
+)
 
 __all__ = ["max_wait_s"]
 
@@ -31,6 +34,7 @@
             wake_at = view.reconnect_at
         if pool.queue:
             wake_at = min(wake_at, _accepts_work_at(view, now))
+            wake_at = min(wake_at, opening_is_silent_at(view, now))
     max_wait_s = MAX_IDLE_WAIT_S if is_idle else MAX_BUSY_WAIT_S
     return max(0.0, min(wake_at - now, max_wait_s))
 
--- a/berylspool/version/upstream/slow_upstreams.py
+++ b/berylspool/version/upstream/slow_upstreams.py
@@ -30,7 +30,7 @@
 SLOW_RATIO = 2.5
 FAST_RATIO = 1.5
 MIN_REPORTERS = 3
-# An entry that has met few upstreams of a service may take a slow one for usual.
+# An entry that has met few upstreams of a service may take a slow one as usual.
 MIN_FAST_REPORTERS = 2
 # Longer than the pauses in which upstreams collect garbage.
 MIN_SPAN_S = 0.4
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -26,8 +26,11 @@
     "ConnectionState",
     "ConnectionView",
     "UpstreamView",
+    "count_opening",
     "find_idle_connection",
     "free_slots",
+    "has_silent_opening",
+    "opening_is_silent_at",
     "raise_slots_after_pause",
     "update_from_reply",
 ]
@@ -43,6 +46,9 @@
 # Slow upstreams stay slow for seconds. A request to one that is still slow is
 # hedged.
 SLOWNESS_DECAY_S = 5.0
+# A waiting part is connected to another upstream after this time, because the
+# packets of an upstream that has lost its VM are not even refused.
+OPENING_PATIENCE_S = 0.02
 # The share of refusals counts as if at least one in ten requests were accepted.
 MAX_REFUSAL_SHARE = 0.9
 # About two service times, after which the requests that a report counted have
@@ -239,6 +245,33 @@
     return max(0.0, 1.0 - age_s / SLOWNESS_DECAY_S)
 
 
+def count_opening(view: UpstreamView) -> int:
+    """Return the number of connections that are opening."""
+    return sum(
+        connection.state is ConnectionState.OPENING
+        for connection in view.connection_by_id.values()
+    )
+
+
+def has_silent_opening(view: UpstreamView, now: float) -> bool:
+    """Return whether a connection has been opening for too long."""
+    return any(
+        connection.state is ConnectionState.OPENING
+        and now - connection.idle_since >= OPENING_PATIENCE_S
+        for connection in view.connection_by_id.values()
+    )
+
+
+def opening_is_silent_at(view: UpstreamView, now: float) -> float:
+    """Return when an opening connection will count as silent, if ever."""
+    times = (
+        connection.idle_since + OPENING_PATIENCE_S
+        for connection in view.connection_by_id.values()
+        if connection.state is ConnectionState.OPENING
+    )
+    return min((time for time in times if time > now), default=float("inf"))
+
+
 def free_slots(view: UpstreamView, now: float) -> int:
     """Return the number of further attempts that the upstream may get now.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
     CrashUpstream,
     EvacuateZone,
     Fault,
+    FillDisk,
     FreezeProcess,
     ImpairLink,
     KillProcess,
@@ -49,6 +50,11 @@
                 await _inject_process_fault(soak_run, fault)
             finally:
                 soak_run.faulted_names.discard(name)
+        case FillDisk(name=name, duration_s=duration_s):
+            marker = soak_run.full_disk_marker(name)
+            marker.touch()
+            await asyncio.sleep(duration_s)
+            marker.unlink()
         case CrashUpstream(name=name):
             await _set_upstream_fault(soak_run, name, {"crash": True})
         case PauseUpstream(name=name, duration_s=duration_s):
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -13,6 +13,7 @@
     "CrashUpstream",
     "EvacuateZone",
     "FaultTargets",
+    "FillDisk",
     "FreezeProcess",
     "ImpairLink",
     "KillProcess",
@@ -28,6 +29,9 @@
 # at a time, so that the others keep a quorum.
 MIN_CONTROL_GAP_S = 3.0
 MAX_FAULT_DURATION_S = 3.0
+# A disk is full between two other faults, after the node of the first is back.
+DISK_DELAY_S = 0.7
+MAX_FULL_DISK_S = 1.8
 IMPAIRMENTS = tuple(
     impairment for impairment in Impairment if impairment is not Impairment.NONE
 )
@@ -89,6 +93,19 @@
     duration_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class FillDisk:
+    """Makes the disk of a control node refuse writes for some time.
+
+    Attributes:
+        name: Name of the control node.
+        duration_s: Time until there is room again, seconds.
+    """
+
+    name: str
+    duration_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class CrashUpstream:
     """Crashes an upstream, which restarts cold.
@@ -159,6 +176,7 @@
     KillProcess
     | RestartProcess
     | FreezeProcess
+    | FillDisk
     | CrashUpstream
     | LeaveUpstream
     | PauseUpstream
@@ -221,10 +239,31 @@
         start_s += (
             MAX_FAULT_DURATION_S + MIN_CONTROL_GAP_S + rng.uniform(0.0, 2.0)
         )
+    scheduled_faults += _draw_full_disks(seed, targets, scheduled_faults)
     scheduled_faults += _draw_notices(seed, targets, length_s)
     return sorted(scheduled_faults, key=lambda scheduled: scheduled.start_s)
 
 
+def _draw_full_disks(
+    seed: int, targets: FaultTargets, scheduled_faults: list[ScheduledFault]
+) -> list[ScheduledFault]:
+    """Return full disks, each between two other faults of control nodes.
+
+    They have a generator of their own, so other faults of a seed stay as they
+    were.
+    """
+    rng = random.Random(f"{seed} disks")
+    full_disks = []
+    for scheduled in scheduled_faults:
+        if getattr(scheduled.fault, "name", "") not in targets.controls:
+            continue
+        start_s = scheduled.start_s + MAX_FAULT_DURATION_S + DISK_DELAY_S
+        duration_s = round(rng.uniform(0.3, MAX_FULL_DISK_S), 2)
+        fault = FillDisk(rng.choice(targets.controls), duration_s)
+        full_disks.append(ScheduledFault(start_s, fault))
+    return full_disks
+
+
 def _draw_notices(
     seed: int, targets: FaultTargets, length_s: float
 ) -> list[ScheduledFault]:
--- a/soak/soak_run.py
+++ b/soak/soak_run.py
@@ -52,6 +52,10 @@
         """Return the settings file of an entry, with addresses of proxies."""
         return self.deployment.folder / f"{entry}.yaml"
 
+    def full_disk_marker(self, control: str) -> Path:
+        """Return the file that makes the disk of a control node full."""
+        return self.deployment.folder / f"{control}.full"
+
     def start(self, name: str) -> None:
         """Start an entry or a control node."""
         if name in self.settings["entries"]:
@@ -126,6 +130,8 @@
     settings, ports = assign_free_ports(settings, count)
     settings["log"] = {"path": "-", "decisions": False}
     soak_run = SoakRun(Deployment(folder, settings))
+    for name, node in settings["controls"].items():
+        node["full_disk_marker"] = str(soak_run.full_disk_marker(name))
     soak_run.deployment.settings_path.write_text(yaml.safe_dump(settings))
     proxied_settings = json.loads(json.dumps(settings))
     for name, upstream in _upstream_settings(proxied_settings):
