berylspool starts: how long processes took until they could serve, from logs alone

Cause: after a restart of everything, operators ask which part of the way took its time: links, the election, the configuration, the list.

--- a/berylspool/tool/cli.py
+++ b/berylspool/tool/cli.py
@@ -3,9 +3,9 @@
 import asyncio
 import sys
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, BinaryIO
 
 import orjson
 import uvloop
@@ -34,6 +34,7 @@
     run_with_progress,
 )
 from berylspool.tool.standin import make_standins, open_recorder, run_standins
+from berylspool.tool.start_report import describe_starts
 from berylspool.version.schema import to_configuration
 
 __all__ = ["app", "main"]
@@ -223,12 +224,26 @@
         request: Id that the caller sent.
         files: Log files, one for each process; a dash is standard input.
     """
-    sources = [
+    for text in explain(request, _open_logs(files)).describe():
+        print(text)
+
+
+@app.command(name="starts")
+def report_starts(*files: Path) -> None:
+    """Print how long processes took from each start until they could serve.
+
+    Args:
+        files: Log files, one for each process; a dash is standard input.
+    """
+    for text in describe_starts(_open_logs(files)):
+        print(text)
+
+
+def _open_logs(files: Iterable[Path]) -> list[tuple[str, BinaryIO]]:
+    return [
         (str(path), sys.stdin.buffer if str(path) == "-" else path.open("rb"))
         for path in files
     ]
-    for text in explain(request, sources).describe():
-        print(text)
 
 
 @app.command
--- a/berylspool/tool/explain.py
+++ b/berylspool/tool/explain.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-__all__ = ["LogLine", "Timeline", "explain"]
+__all__ = ["LogLine", "Timeline", "explain", "parse_line"]
 
 # Fields of every line, which are not printed as details.
 COMMON_FIELDS = frozenset(
@@ -100,7 +100,7 @@
         for line in lines:
             if not line.strip():
                 continue
-            fields = _parse_line(line)
+            fields = parse_line(line)
             if fields is None:
                 unreadable_count += 1
                 continue
@@ -113,7 +113,7 @@
     return Timeline(tuple(log_lines), unreadable_count, dropped_count)
 
 
-def _parse_line(line: bytes) -> dict[str, Any] | None:
+def parse_line(line: bytes) -> dict[str, Any] | None:
     """Return the fields of a line; text before the JSON is ignored."""
     start = line.find(b"{")
     try:
