The leader looks for expired judgements twice a second, not at each heartbeat

Cause: read again: 200 entries send 800 heartbeats a second, and each walked all reports. Change: heartbeats without reports are skipped, expired entries dropped each 0.5 s, and an expired judgement is not renewed by a single report.

--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -108,6 +108,8 @@
 
     def _tell_judgements(self, heartbeat: Heartbeat, now: float) -> None:
         """Judge upstreams by an entry's reports; tell entries what changed."""
+        if not heartbeat.observed:
+            return
         judged = judge(
             self._slow_upstreams, heartbeat.member.name, heartbeat.observed, now
         )
--- a/berylspool/version/upstream/slow_upstreams.py
+++ b/berylspool/version/upstream/slow_upstreams.py
@@ -43,6 +43,8 @@
 # Entries are told again that reports go on, so that they go on avoiding it.
 RENEWAL_S = 2.0
 MAX_SIGHTINGS = 16
+# Hundreds of entries report several times a second.
+DROP_INTERVAL_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,12 +132,15 @@
     Attributes:
         sightings_by_upstream: Recent reports of slow answers, oldest first.
         verdict_by_upstream: Upstreams that are judged as slow.
+        expired_dropped_at: Time at which expired ones were last dropped,
+            monotonic seconds.
     """
 
     sightings_by_upstream: dict[str, list[_Sighting]] = field(
         default_factory=dict
     )
     verdict_by_upstream: dict[str, _Verdict] = field(default_factory=dict)
+    expired_dropped_at: float = float("-inf")
 
 
 def is_worth_reporting(
@@ -203,7 +208,7 @@
         s for s in sightings[-MAX_SIGHTINGS:] if now - s.at <= REPORT_WINDOW_S
     ]
     verdict = state.verdict_by_upstream.get(report.id)
-    if verdict is not None:
+    if verdict is not None and now - verdict.reported_at <= JUDGEMENT_S:
         verdict.reported_at = now
         verdict.fast_reporters.clear()
         if now - verdict.told_at < RENEWAL_S:
@@ -239,6 +244,9 @@
 
 
 def _drop_expired(state: SlowUpstreams, now: float) -> None:
+    if now - state.expired_dropped_at < DROP_INTERVAL_S:
+        return
+    state.expired_dropped_at = now
     for id, sightings in list(state.sightings_by_upstream.items()):
         if not sightings or now - sightings[-1].at > REPORT_WINDOW_S:
             del state.sightings_by_upstream[id]
