A fifth of the lent copies is saved up, and the rest added as time passes

Half of what may be lent could be saved, so only the other half was added in a window, and a new leader starts with nothing saved.

Change: a fifth is saved, four fifths are added. Any window stays within the limit.

--- a/berylspool/process/control/copy_lending.py
+++ b/berylspool/process/control/copy_lending.py
@@ -5,10 +5,11 @@
 affects only the entries that prefer it, so a few entries need most copies.  The
 leader lends the part that is not held in advance to whichever entry asks first.
 
-Each service has a token bucket.  Half of what may be lent in a window can be
-saved up and the other half is added during the window, so that no window
-exceeds the whole.  The buckets of a new leader are empty, because its
-predecessor may just have lent all that the window allows.
+Each service has a token bucket.  A fifth of what may be lent in a window can be
+saved up and the rest is added during the window, so that no window exceeds the
+whole.  The buckets of a new leader are empty, because its predecessor may just
+have lent all that the window allows; what is added reaches entries whose
+upstreams have been slow for seconds, also under a new leader.
 """
 
 from collections.abc import Iterable
@@ -21,7 +22,7 @@
 
 __all__ = ["CopyLending", "lend_copies"]
 
-SAVED_SHARE = 0.5
+SAVED_SHARE = 0.2
 
 
 @dataclass(slots=True)
@@ -54,7 +55,7 @@
         the budget of its service is spent.
 
     Examples:
-        >>> routing = RoutingSettings(extra_slack=8.0, extra_window_s=10.0)
+        >>> routing = RoutingSettings(extra_slack=20.0, extra_window_s=10.0)
         >>> lending = CopyLending(routing, leads_since=0.0)
         >>> lend_copies(lending, [ExtraCopies("s", "", 3)], 10.0)
         (ExtraCopies(service='s', version='', copies=2),)
