The patience with an opening connection follows the usual time of an opening

Cause: read again: 20 ms are many times a handshake between zones, and less than one between regions, where every new connection would have counted as silent and been reported. Change: three times the moving average of the upstream's openings, 20 ms at least.

--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -44,6 +44,7 @@
     count_opening,
     free_slots,
     has_silent_opening,
+    record_opening,
 )
 
 __all__ = [
@@ -89,6 +90,8 @@
         change = f"instance {event.instance} is cold"
         actions.append(Log(UpstreamChanged(view.upstream.id, change)))
     if connection.state is ConnectionState.OPENING:
+        if pool.tuning.opens_on_demand:
+            record_opening(view, now - connection.idle_since)
         connection.state = ConnectionState.IDLE
         connection.idle_since = now
     # Upstreams accept connections beyond their limit and then reset them, so
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -32,6 +32,7 @@
     "has_silent_opening",
     "opening_is_silent_at",
     "raise_slots_after_pause",
+    "record_opening",
     "update_from_reply",
 ]
 
@@ -46,9 +47,11 @@
 # Slow upstreams stay slow for seconds. A request to one that is still slow is
 # hedged.
 SLOWNESS_DECAY_S = 5.0
-# A waiting part is connected to another upstream after this time, because the
-# packets of an upstream that has lost its VM are not even refused.
-OPENING_PATIENCE_S = 0.02
+# A waiting part is connected to another upstream after a multiple of the usual
+# time of an opening: packets to a VM that has lost its power are not refused.
+OPENING_PATIENCE = 3.0
+MIN_OPENING_PATIENCE_S = 0.02
+OPENING_EWMA_WEIGHT = 0.3
 # The share of refusals counts as if at least one in ten requests were accepted.
 MAX_REFUSAL_SHARE = 0.9
 # About two service times, after which the requests that a report counted have
@@ -130,6 +133,8 @@
         slots_after_pause: Slots that it gets after a pause, which double with
             each answer; None without a limit.
         has_unusable_pause: Whether it has stated a pause that is no time.
+        opening_s: Moving average of the time in which connections opened, in
+            seconds.
         judged_slowness: Slowness that all entries together have found.
         judged_at: Time at which this entry was told, monotonic seconds; its own
             newer answer times take precedence.
@@ -160,6 +165,7 @@
     paused_until: float = float("-inf")
     slots_after_pause: int | None = None
     has_unusable_pause: bool = False
+    opening_s: float = 0.0
     judged_slowness: float = 1.0
     judged_at: float = float("-inf")
     judged_until: float = float("-inf")
@@ -253,11 +259,20 @@
     )
 
 
+def record_opening(view: UpstreamView, elapsed_s: float) -> None:
+    """Add the time in which a connection opened to the moving average."""
+    view.opening_s += OPENING_EWMA_WEIGHT * (elapsed_s - view.opening_s)
+
+
+def _opening_patience_s(view: UpstreamView) -> float:
+    return max(MIN_OPENING_PATIENCE_S, OPENING_PATIENCE * view.opening_s)
+
+
 def has_silent_opening(view: UpstreamView, now: float) -> bool:
     """Return whether a connection has been opening for too long."""
     return any(
         connection.state is ConnectionState.OPENING
-        and now >= connection.idle_since + OPENING_PATIENCE_S
+        and now >= connection.idle_since + _opening_patience_s(view)
         for connection in view.connection_by_id.values()
     )
 
@@ -265,7 +280,7 @@
 def opening_is_silent_at(view: UpstreamView, now: float) -> float:
     """Return when an opening connection will count as silent, if ever."""
     times = (
-        connection.idle_since + OPENING_PATIENCE_S
+        connection.idle_since + _opening_patience_s(view)
         for connection in view.connection_by_id.values()
         if connection.state is ConnectionState.OPENING
     )
