--- a/berylspool/version/upstream/tests/test_slow_upstreams.py
+++ b/berylspool/version/upstream/tests/test_slow_upstreams.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from berylspool.request.query import Forward, Part, Snapshot
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
@@ -18,6 +17,10 @@
     SendAttempt,
 )
 from berylspool.version.pool.state import Pool, PoolTuning
+from berylspool.version.pool.tests.test_shared_upstreams import (
+    SNAPSHOT,
+    make_part,
+)
 from berylspool.version.upstream.balancing import LeastLoaded
 from berylspool.version.upstream.slow_upstreams import (
     JUDGEMENT_S,
@@ -31,7 +34,6 @@
 )
 
 HEARTBEAT_S = 0.25
-SNAPSHOT = Snapshot("", 1)
 
 
 def report(state, entry, now, slowness=5.0, age_s=0.0):
@@ -158,20 +160,7 @@
     def request(self, number):
         """Play one request of one part at a random entry."""
         pool = self.random.choice(self.pools)
-        forward = Forward("GET", "/", (), b"", True, 1, hedge_after_s=9.0)
-        part = Part(
-            f"p{number}",
-            f"r{number}",
-            "s",
-            0,
-            SNAPSHOT,
-            "",
-            1.0,
-            f"f{number}",
-            True,
-            "route",
-            forward,
-        )
+        part = make_part(number, attempts=1, hedge_after_s=9.0)
         [send] = self.feed(pool, PartArrived(part))
         upstream_id = pool.attempt_by_id[send.attempt_id].upstream_id
         self.met.append((self.now, upstream_id in self.silent))
