The soak judges changes that are never accepted

Cause: a control group that refused all changes would have hung a run, not failed it. Change: a promise of its own, with a planted violation. Result: tests of the checker.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -26,6 +26,8 @@
 CONNECT_TIMEOUT_S = 1.0
 MAX_COMMAND_SENDS = 4
 RESEND_DELAY_S = 0.3
+# One control node has a fault at a time, for 3 s at most; elections take less.
+CHANGE_TIMEOUT_S = 20.0
 OPERATOR_TIMEOUT_S = 3.0
 # Status of a control node that is not the leader.
 NOT_LEADER_STATUS = 421
@@ -257,7 +259,8 @@
         history.evacuations.append(evacuation)
     # A command without a clear answer may have been applied, so the zone is
     # returned to service whatever the answer was.
-    while True:
+    give_up_at = time.monotonic() + CHANGE_TIMEOUT_S
+    while time.monotonic() < give_up_at:
         answer = await _send_operator_command(
             admin_addresses, f"zone {zone} in", rng
         )
@@ -270,6 +273,7 @@
         if answer is not None and answer.get("error") != "NoLeaderError":
             return
         await asyncio.sleep(RESEND_DELAY_S)
+    history.stuck_changes.append(f"zone {zone} in")
 
 
 async def read_revision(
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -196,6 +196,12 @@
             yield f"read {read.revision} after {newest_accepted} was accepted"
 
 
+def stuck(history: RunHistory) -> Iterator[str]:
+    """Changes are accepted, as a quorum of control nodes has no fault."""
+    for change in history.stuck_changes:
+        yield f"{change!r} was not accepted in time"
+
+
 def cut(history: RunHistory) -> Iterator[str]:
     """A planned stop of an entry closes no connection with a request on it.
 
@@ -316,6 +322,7 @@
     cold,
     evacuated,
     reverted,
+    stuck,
     cut,
     extra,
     left,
--- a/soak/history.py
+++ b/soak/history.py
@@ -112,6 +112,7 @@
         interruptions: Interruptions of processes.
         zone_by_upstream: Zone of each upstream.
         entry_start_count: Number of times that entries were started.
+        stuck_changes: Operators' changes that were not accepted in time.
     """
 
     queries: list[Exchange] = field(default_factory=list)
@@ -123,3 +124,4 @@
     interruptions: list[Interruption] = field(default_factory=list)
     zone_by_upstream: dict[str, str] = field(default_factory=dict)
     entry_start_count: int = 0
+    stuck_changes: list[str] = field(default_factory=list)
--- a/soak/tests/test_checker.py
+++ b/soak/tests/test_checker.py
@@ -129,6 +129,10 @@
     history.records += [make_refused_record(12.0) for _ in range(3)]
 
 
+def violate_stuck(history):
+    history.stuck_changes.append("zone z1 in")
+
+
 def violate_paused(history):
     pause = {**make_refused_record(9.0), "event": "paused", "pause_s": 4.0}
     history.records.append(pause)
