Reports and judgements on slow upstreams have names of their own

Cause: ObservedUpstream, UpstreamObserved, JudgedUpstream and UpstreamJudged told a reader nothing of which goes where. Change: SlownessReport and SlownessJudgement travel, SlownessObserved and SlownessJudged are events of a pool. Names on the wire are those of the fields, and stay. Result: same tests pass.

--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -14,8 +14,8 @@
 from berylspool.version.configuration import Configuration
 from berylspool.version.listing import ListedUpstream, Listing
 from berylspool.version.upstream.slow_upstreams import (
-    JudgedUpstream,
-    ObservedUpstream,
+    SlownessJudgement,
+    SlownessReport,
 )
 
 __all__ = [
@@ -116,7 +116,7 @@
     convicted: tuple[str, ...] = ()
     wanted: tuple[ExtraCopies, ...] = ()
     accepts_packed: bool = False
-    observed: tuple[ObservedUpstream, ...] = ()
+    observed: tuple[SlownessReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -176,7 +176,7 @@
         judged: New and renewed judgements.
     """
 
-    judged: tuple[JudgedUpstream, ...]
+    judged: tuple[SlownessJudgement, ...]
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/process/control/tests/test_entry_sessions.py
+++ b/berylspool/process/control/tests/test_entry_sessions.py
@@ -36,7 +36,7 @@
 from berylspool.process.settings import Settings
 from berylspool.version.configuration import Configuration, Document, Upstream
 from berylspool.version.listing import ListedUpstream
-from berylspool.version.upstream.slow_upstreams import ObservedUpstream
+from berylspool.version.upstream.slow_upstreams import SlownessReport
 
 CODEC = make_control_codec()
 DOCUMENT_BYTES = 4000
@@ -254,7 +254,7 @@
             heartbeat = dataclasses.replace(
                 make_heartbeat(packed=number < 3),
                 member=Member(f"e{number}", "127.0.0.1", 1),
-                observed=(ObservedUpstream("i-1", 6.0),),
+                observed=(SlownessReport("i-1", 6.0),),
             )
             sessions.answer_heartbeat(session, heartbeat, now)
     newcomer = FakeSession("new")
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -50,8 +50,8 @@
 from berylspool.version.operation import operation_codec
 from berylspool.version.revision import apply_operations
 from berylspool.version.upstream.slow_upstreams import (
-    JudgedUpstream,
-    UpstreamObserved,
+    SlownessJudgement,
+    SlownessObserved,
 )
 
 __all__ = ["ControlClient"]
@@ -111,7 +111,7 @@
         get_convicted: Callable[[], tuple[str, ...]] = lambda: (),
         on_convicted: Callable[[tuple[str, ...]], None] = lambda _: None,
         on_lent: Callable[[tuple[ExtraCopies, ...]], None] = lambda lent: None,
-        on_judged: Callable[[tuple[JudgedUpstream, ...]], None] = lambda _: (
+        on_judged: Callable[[tuple[SlownessJudgement, ...]], None] = lambda _: (
             None
         ),
         control_port: int | None = None,
@@ -247,7 +247,7 @@
                 if pool in self._wanted_by_pool:
                     copies += self._wanted_by_pool[pool].copies
                 self._wanted_by_pool[pool] = replace(message, copies=copies)
-            case UpstreamObserved():
+            case SlownessObserved():
                 self._observations.add(message)
             case Leave():
                 self._is_leaving = True
--- a/berylspool/process/entry/control_client_message.py
+++ b/berylspool/process/entry/control_client_message.py
@@ -7,8 +7,8 @@
 from berylspool.connection.control_message import ExtraCopies
 from berylspool.request.ledger import LedgerRequest
 from berylspool.version.upstream.slow_upstreams import (
-    ObservedUpstream,
-    UpstreamObserved,
+    SlownessObserved,
+    SlownessReport,
 )
 
 __all__ = [
@@ -81,15 +81,15 @@
         observed_by_upstream: Newest observation of each upstream.
     """
 
-    observed_by_upstream: dict[str, UpstreamObserved] = field(
+    observed_by_upstream: dict[str, SlownessObserved] = field(
         default_factory=dict
     )
 
-    def add(self, observed: UpstreamObserved) -> None:
+    def add(self, observed: SlownessObserved) -> None:
         """Add an observation; it replaces an earlier one of the upstream."""
         self.observed_by_upstream[observed.id] = observed
 
-    def take(self, now: float) -> tuple[ObservedUpstream, ...]:
+    def take(self, now: float) -> tuple[SlownessReport, ...]:
         """Take the observations, up to a limit; drop the rest.
 
         Args:
@@ -98,7 +98,7 @@
         taken = list(self.observed_by_upstream.values())[:MAX_OBSERVED]
         self.observed_by_upstream.clear()
         return tuple(
-            ObservedUpstream(seen.id, round(seen.slowness, 2), now - seen.at)
+            SlownessReport(seen.id, round(seen.slowness, 2), now - seen.at)
             for seen in taken
         )
 
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -69,9 +69,9 @@
 from berylspool.version.pool.state import PoolTuning
 from berylspool.version.pool.transport import Transport
 from berylspool.version.upstream.slow_upstreams import (
-    JudgedUpstream,
-    UpstreamJudged,
-    UpstreamObserved,
+    SlownessJudged,
+    SlownessJudgement,
+    SlownessObserved,
 )
 
 __all__ = ["Router"]
@@ -85,7 +85,7 @@
     | Subscribe
     | Unsubscribe
     | UpstreamsListed
-    | UpstreamJudged
+    | SlownessJudged
 )
 
 
@@ -124,7 +124,7 @@
         on_table_drained: Callable[[int], None] = lambda epoch: None,
         on_reply: Callable[[ObservedReply], None] = lambda reply: None,
         on_borrow: Callable[[PoolKey, int], None] = lambda key, copies: None,
-        on_upstream: Callable[[UpstreamObserved], None] = lambda observed: None,
+        on_upstream: Callable[[SlownessObserved], None] = lambda observed: None,
         transport: Transport | None = None,
     ) -> None:
         self.inbox: Mailbox[RouterMessage] = Mailbox()
@@ -185,7 +185,7 @@
             key = (loan.service, loan.version)
             self.inbox.put(LoanReceived(key, loan.copies))
 
-    def receive_judgements(self, judged: tuple[JudgedUpstream, ...]) -> None:
+    def receive_judgements(self, judged: tuple[SlownessJudgement, ...]) -> None:
         """Queue what all entries together have found of upstreams.
 
         Entries try a slow upstream again at different times, so that the first
@@ -195,7 +195,7 @@
         for judgement in judged:
             valid_s = judgement.valid_s * random.uniform(1.0, 2.0)
             self.inbox.put(
-                UpstreamJudged(judgement.id, judgement.slowness, now + valid_s)
+                SlownessJudged(judgement.id, judgement.slowness, now + valid_s)
             )
 
     def _handle(self, message: RouterMessage) -> None:
@@ -208,7 +208,7 @@
                 self._pools.forget_unlisted(ids)
             case PoolMessage():
                 self._pools.receive(message)
-            case UpstreamJudged():
+            case SlownessJudged():
                 self._pools.judge(message)
             case _:
                 for action in step(self.routing, message, self._clock()):
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -82,7 +82,7 @@
     on_instance_report,
     on_send,
 )
-from berylspool.version.upstream.slow_upstreams import UpstreamJudged
+from berylspool.version.upstream.slow_upstreams import SlownessJudged
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
@@ -129,7 +129,7 @@
             actions = []
         case CopiesLent(copies=copies):
             actions = on_copies_lent(pool, copies, now)
-        case UpstreamJudged(slowness=slowness, valid_until=valid_until):
+        case SlownessJudged(slowness=slowness, valid_until=valid_until):
             view = pool.view_by_upstream[event.id]
             view.apply_judgement(slowness, valid_until, now)
             actions = []
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -49,7 +49,7 @@
     on_instance_report,
 )
 from berylspool.version.upstream.slow_upstreams import (
-    UpstreamObserved,
+    SlownessObserved,
     is_worth_reporting,
 )
 from berylspool.version.upstream.upstream_view import (
@@ -221,7 +221,7 @@
     usual_s = usual_by_route.setdefault(attempt.route, latency_s)
     slowness = view.record_latency(latency_s, usual_s, now)
     if is_worth_reporting(slowness, is_answer, now < view.judged_until):
-        pool.observed.append(UpstreamObserved(view.upstream.id, slowness, now))
+        pool.observed.append(SlownessObserved(view.upstream.id, slowness, now))
     usual_s += USUAL_LATENCY_EWMA_WEIGHT * (latency_s - usual_s)
     usual_by_route[attempt.route] = usual_s
 
--- a/berylspool/version/pool/connections.py
+++ b/berylspool/version/pool/connections.py
@@ -32,7 +32,7 @@
     on_connection_lost,
     on_instance_report,
 )
-from berylspool.version.upstream.slow_upstreams import UpstreamObserved
+from berylspool.version.upstream.slow_upstreams import SlownessObserved
 from berylspool.version.upstream.subsetting import (
     choose_subset,
     round_fraction,
@@ -228,7 +228,7 @@
             pool, view, part_count, min_new, now
         )
         if has_silent_opening(view, now):
-            observed = UpstreamObserved(
+            observed = SlownessObserved(
                 view.upstream.id, UNREACHABLE_SLOWNESS, now
             )
             pool.observed.append(observed)
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -14,7 +14,7 @@
 )
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.quarantine import Verdict
-from berylspool.version.upstream.slow_upstreams import UpstreamJudged
+from berylspool.version.upstream.slow_upstreams import SlownessJudged
 
 __all__ = [
     "AttemptAnswered",
@@ -262,7 +262,7 @@
     | LeaseUpdated
     | CopiesLent
     | CloseRequested
-    | UpstreamJudged
+    | SlownessJudged
     | Tick
 )
 
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -39,8 +39,8 @@
 from berylspool.version.pool.transport import ConnectionTask, Transport
 from berylspool.version.upstream.notices import NoticeMemory, forget_unlisted
 from berylspool.version.upstream.slow_upstreams import (
-    UpstreamJudged,
-    UpstreamObserved,
+    SlownessJudged,
+    SlownessObserved,
 )
 
 __all__ = ["PoolListener", "PoolSet"]
@@ -69,7 +69,7 @@
     on_borrow: Callable[[PoolKey, int], None]
     on_drained: Callable[[PoolKey], None]
     on_observed: Callable[[ObservedReply], None]
-    on_upstream: Callable[[UpstreamObserved], None]
+    on_upstream: Callable[[SlownessObserved], None]
     log: Callable[[Event], None]
 
 
@@ -191,7 +191,7 @@
             self._sync_health_watches(running)
         self._changed_keys.add(key)
 
-    def judge(self, judged: UpstreamJudged) -> None:
+    def judge(self, judged: SlownessJudged) -> None:
         """Tell the pools of an upstream how all entries judge it."""
         for key, running in list(self._running_by_key.items()):
             if judged.id in running.pool.view_by_upstream:
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -21,7 +21,7 @@
 from berylspool.version.pool.quarantine import VerdictTable, is_convicted
 from berylspool.version.upstream.balancing import BalancingPolicy
 from berylspool.version.upstream.notices import NoticeMemory
-from berylspool.version.upstream.slow_upstreams import UpstreamObserved
+from berylspool.version.upstream.slow_upstreams import SlownessObserved
 from berylspool.version.upstream.upstream_view import (
     ConnectionState,
     UpstreamView,
@@ -233,7 +233,7 @@
     borrow_after: float = float("-inf")
     notices: NoticeMemory = field(default_factory=NoticeMemory)
     noticed_until: float = float("-inf")
-    observed: list[UpstreamObserved] = field(default_factory=list)
+    observed: list[SlownessObserved] = field(default_factory=list)
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
--- a/berylspool/version/upstream/slow_upstreams.py
+++ b/berylspool/version/upstream/slow_upstreams.py
@@ -15,11 +15,11 @@
 from dataclasses import dataclass, field
 
 __all__ = [
-    "JudgedUpstream",
-    "ObservedUpstream",
+    "SlownessJudgement",
+    "SlownessReport",
     "SlowUpstreams",
-    "UpstreamJudged",
-    "UpstreamObserved",
+    "SlownessJudged",
+    "SlownessObserved",
     "all_judgements",
     "is_worth_reporting",
     "judge",
@@ -48,7 +48,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamObserved:
+class SlownessObserved:
     """A pool has observed an upstream.
 
     Attributes:
@@ -64,7 +64,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class UpstreamJudged:
+class SlownessJudged:
     """All entries together have judged an upstream.
 
     Attributes:
@@ -79,7 +79,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ObservedUpstream:
+class SlownessReport:
     """An entry's report on an upstream.
 
     Attributes:
@@ -95,7 +95,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class JudgedUpstream:
+class SlownessJudgement:
     """Judgement on an upstream.
 
     Attributes:
@@ -169,9 +169,9 @@
 def judge(
     state: SlowUpstreams,
     entry: str,
-    observed: Iterable[ObservedUpstream],
+    observed: Iterable[SlownessReport],
     now: float,
-) -> list[JudgedUpstream]:
+) -> list[SlownessJudgement]:
     """Add the reports of an entry.
 
     Args:
@@ -198,8 +198,8 @@
 
 
 def _add_sighting(
-    state: SlowUpstreams, entry: str, report: ObservedUpstream, now: float
-) -> JudgedUpstream | None:
+    state: SlowUpstreams, entry: str, report: SlownessReport, now: float
+) -> SlownessJudgement | None:
     at = now - report.age_s
     sightings = state.sightings_by_upstream.setdefault(report.id, [])
     sightings.append(_Sighting(at, entry, report.slowness))
@@ -214,12 +214,12 @@
         if now - verdict.told_at < RENEWAL_S:
             return None
         verdict.told_at = now
-        return JudgedUpstream(report.id, verdict.slowness, JUDGEMENT_S)
+        return SlownessJudgement(report.id, verdict.slowness, JUDGEMENT_S)
     if not sightings or not _agree(sightings):
         return None
     slowness = sorted(s.slowness for s in sightings)[len(sightings) // 2]
     state.verdict_by_upstream[report.id] = _Verdict(slowness, now, now)
-    return JudgedUpstream(report.id, slowness, JUDGEMENT_S)
+    return SlownessJudgement(report.id, slowness, JUDGEMENT_S)
 
 
 def _agree(sightings: list[_Sighting]) -> bool:
@@ -231,7 +231,7 @@
 
 def _add_fast_report(
     state: SlowUpstreams, entry: str, upstream_id: str
-) -> JudgedUpstream | None:
+) -> SlownessJudgement | None:
     state.sightings_by_upstream.pop(upstream_id, None)
     verdict = state.verdict_by_upstream.get(upstream_id)
     if verdict is None:
@@ -240,7 +240,7 @@
     if len(verdict.fast_reporters) < MIN_FAST_REPORTERS:
         return None
     del state.verdict_by_upstream[upstream_id]
-    return JudgedUpstream(upstream_id, 1.0, 0.0)
+    return SlownessJudgement(upstream_id, 1.0, 0.0)
 
 
 def _drop_expired(state: SlowUpstreams, now: float) -> None:
@@ -255,10 +255,10 @@
             del state.verdict_by_upstream[id]
 
 
-def all_judgements(state: SlowUpstreams, now: float) -> list[JudgedUpstream]:
+def all_judgements(state: SlowUpstreams, now: float) -> list[SlownessJudgement]:
     """Return the judgements in force, for an entry that knows none of them."""
     return [
-        JudgedUpstream(id, verdict.slowness, JUDGEMENT_S - age_s)
+        SlownessJudgement(id, verdict.slowness, JUDGEMENT_S - age_s)
         for id, verdict in state.verdict_by_upstream.items()
         if (age_s := now - verdict.reported_at) < JUDGEMENT_S
     ]
--- a/berylspool/version/upstream/tests/test_slow_upstreams.py
+++ b/berylspool/version/upstream/tests/test_slow_upstreams.py
@@ -26,9 +26,9 @@
     JUDGEMENT_S,
     MIN_REPORTERS,
     MIN_SPAN_S,
-    ObservedUpstream,
+    SlownessJudged,
+    SlownessReport,
     SlowUpstreams,
-    UpstreamJudged,
     all_judgements,
     judge,
 )
@@ -37,7 +37,7 @@
 
 
 def report(state, entry, now, slowness=5.0, age_s=0.0):
-    return judge(state, entry, [ObservedUpstream("i", slowness, age_s)], now)
+    return judge(state, entry, [SlownessReport("i", slowness, age_s)], now)
 
 
 def reports_over(span_s, count=6, entries=MIN_REPORTERS):
@@ -191,7 +191,7 @@
         judged = []
         for number, pool in enumerate(self.pools):
             observed = [
-                ObservedUpstream(o.id, o.slowness, self.now - o.at)
+                SlownessReport(o.id, o.slowness, self.now - o.at)
                 for o in pool.observed
             ]
             pool.observed.clear()
@@ -200,7 +200,7 @@
         for pool in self.pools:
             for judgement in judged:
                 until = self.now + judgement.valid_s * self.random.uniform(1, 2)
-                event = UpstreamJudged(judgement.id, judgement.slowness, until)
+                event = SlownessJudged(judgement.id, judgement.slowness, until)
                 self.feed(pool, event)
 
     def run(self, duration_s, per_s):
@@ -260,7 +260,7 @@
     fleet.run(2.0, per_s=30.0)
     [pool] = fleet.pools
     view = pool.view_by_upstream["i1"]
-    fleet.feed(pool, UpstreamJudged("i1", 6.0, fleet.now + 5.0))
+    fleet.feed(pool, SlownessJudged("i1", 6.0, fleet.now + 5.0))
     assert view.expected_slowness(fleet.now) == 6.0
     view.record_latency(0.01, 0.01, fleet.now + 0.1)
     assert view.expected_slowness(fleet.now + 0.1) < 2.0
@@ -271,6 +271,6 @@
     fleet = Fleet(entries=1, shares=False)
     [pool] = fleet.pools
     for id in ("i0", "i1", "i2"):
-        fleet.feed(pool, UpstreamJudged(id, 50.0, 1e9))
+        fleet.feed(pool, SlownessJudged(id, 50.0, 1e9))
     fleet.run(1.0, per_s=30.0)
     assert len(fleet.met) > 10
