--- a/soak/faults.py
+++ b/soak/faults.py
@@ -116,10 +116,11 @@
     host, port = soak_run.proxy_by_link[name].target
     with contextlib.suppress(OSError):
         _, writer = await asyncio.open_connection(host, port)
-        data = json.dumps(changes).encode()
-        head = "POST /standin/fault HTTP/1.1\r\nHost: soak\r\n"
-        length = f"Content-Length: {len(data)}\r\n\r\n"
-        writer.write((head + length).encode() + data)
-        await writer.drain()
-        await asyncio.sleep(0.05)
-        writer.close()
+        # A stand-in that crashes may reset the connection.
+        with contextlib.closing(writer):
+            data = json.dumps(changes).encode()
+            head = "POST /standin/fault HTTP/1.1\r\nHost: soak\r\n"
+            length = f"Content-Length: {len(data)}\r\n\r\n"
+            writer.write((head + length).encode() + data)
+            await writer.drain()
+            await asyncio.sleep(0.05)
