--- a/review/1/play.py
+++ b/review/1/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import os
 import sys
 import time
 from pathlib import Path
@@ -16,7 +17,6 @@
     Reply,
     Request,
     check_served,
-    has_trouble,
     is_in_episode,
     main,
     make_configuration,
@@ -25,6 +25,8 @@
     new_id,
 )
 
+# TROUBLE=0 plays the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 12
 PLAY_S = 48.0
 PAUSE_S = 0.05
@@ -58,7 +60,7 @@
         content_type = "text/plain"
         is_faulty = backend is self.deployment.backends[0]
         if (
-            has_trouble()
+            HAS_TROUBLE
             and is_faulty
             and is_in_episode(self.started_at)
             and random.random() < SPOILT_SHARE
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import os
 import sys
 import time
 from pathlib import Path
@@ -18,7 +19,6 @@
     Request,
     check_served,
     encode_answer,
-    has_trouble,
     is_in_episode,
     main,
     make_configuration,
@@ -27,6 +27,8 @@
     new_id,
 )
 
+# TROUBLE=0 plays the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CLIENTS = 8
 PAUSE_S = 0.05
 PLAY_S = 72.0
@@ -64,7 +66,7 @@
         reply = Reply(status, [("X-Response-Stamp", stamp)], body)
         is_faulty = backend is self.deployment.backends[0]
         if (
-            has_trouble()
+            HAS_TROUBLE
             and is_faulty
             and is_in_episode(self.started_at)
             and random.random() < GARBLED_SHARE
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import os
 import sys
 import time
 from pathlib import Path
@@ -17,7 +18,6 @@
     Request,
     check_served,
     encode_request,
-    has_trouble,
     main,
     make_configuration,
     make_route,
@@ -26,6 +26,8 @@
     read_answer,
 )
 
+# TROUBLE=0 plays the same without the disruption.
+HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 # More than the two back ends serve (20 a second), as on a day of high load.
 REQUESTS_PER_S = 30.0
 LOAD_S = 8.0
@@ -100,7 +102,7 @@
     for number in range(int(LOAD_S * REQUESTS_PER_S)):
         due_s = started_at + number / REQUESTS_PER_S - time.monotonic()
         await asyncio.sleep(max(0.0, due_s))
-        leaves = has_trouble() and random.random() < LEAVING_SHARE
+        leaves = HAS_TROUBLE and random.random() < LEAVING_SHARE
         front = deployment.front_address(number % 2)
         clients.append(asyncio.ensure_future(case.client(front, leaves)))
     await asyncio.gather(*clients)
--- a/review/standins.py
+++ b/review/standins.py
@@ -757,11 +757,6 @@
         return answer
 
 
-def has_trouble() -> bool:
-    """Return whether the disruption of the case is played."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def is_in_episode(started_at: float) -> bool:
     """Return whether a disruption that comes in short episodes is on now."""
     elapsed_s = time.monotonic() - started_at
@@ -809,6 +804,7 @@
         entries: Number of front machines.
     """
     record = Record(Path(file).resolve().parent / "record.txt")
+    record.write("begins", TROUBLE=os.environ.get("TROUBLE", "1"))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     deployment: Deployment | None = None
     try:
