--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,8 +1,8 @@
 """Back ends end a header of some of their answers with a blank."""
 
 import asyncio
-import random
 import os
+import random
 import sys
 import time
 from pathlib import Path
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -1,8 +1,8 @@
 """Back ends add the beginning of a second answer to some of their answers."""
 
 import asyncio
-import random
 import os
+import random
 import sys
 import time
 from pathlib import Path
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,8 +1,8 @@
 """Clients leave while their requests wait in the queue of a front machine."""
 
 import asyncio
-import random
 import os
+import random
 import sys
 import time
 from pathlib import Path
