--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -22,7 +22,6 @@
     "ProcessStarted",
     "ProcessStopped",
     "RequestBlamed",
-    "RequestEnded",
     "RequestFailed",
     "RequestRefused",
     "RequestServed",
@@ -354,34 +353,6 @@
     outcome: str
 
 
-@dataclass(frozen=True, slots=True)
-class RequestEnded(Event):
-    """A forwarded request ended late, incomplete or without an answer.
-
-    Attributes:
-        request: Id of the request.
-        route: Name of the route.
-        plan: Number of the forwarding plan.
-        listing: Listing in force, as epoch and serial.
-        outcome: Kind of the outcome, and the reason of a refusal.
-        missing: Reason of each missing part, by service.
-        last: Service that answered last; empty if unknown.
-        copies: Number of copies that were sent; 0 for a refusal.
-        latency_ms: Time until the outcome, in ms.
-    """
-
-    number: ClassVar[int] = 2007
-    request: str
-    route: str
-    plan: int
-    listing: str
-    outcome: str
-    missing: dict[str, str]
-    last: str
-    copies: int
-    latency_ms: float
-
-
 @dataclass(frozen=True, slots=True)
 class PlanRefused(Event):
     """A published plan cannot be decoded; the previous one stays in use."""
--- a/berylspool/common/event_catalogue.py
+++ b/berylspool/common/event_catalogue.py
@@ -1,6 +1,9 @@
 """All log events by their number."""
 
-from berylspool.common import part_event  # noqa: F401  (defines events)
+from berylspool.common import (  # noqa: F401  (define events)
+    part_event,
+    request_event,
+)
 from berylspool.common.event import Event
 
 __all__ = ["event_class_by_number"]
--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -8,6 +8,7 @@
 __all__ = [
     "Metrics",
     "increment_counter",
+    "record_busy_time",
     "record_latency",
     "render_exposition",
     "set_gauge",
@@ -25,6 +26,9 @@
     "berylspool_upstream_notices_total": "Notices of upstreams, by kind.",
     "berylspool_upstream_overruns_total": "Responses without end, by excess.",
     "berylspool_latency_seconds": "Response time, by route and quantile.",
+    "berylspool_busy_seconds": (
+        "Processor time during a request, by route and quantile."
+    ),
     "berylspool_configuration_revision": "Configuration revision in force.",
     "berylspool_lease_held": "Whether the lease is held.",
     "berylspool_in_flight": "Caller requests in flight.",
@@ -57,6 +61,8 @@
         gauge_by_series: Gauges by name and labels.
         latency_by_route: Histogram of response times in microseconds, by
             route.
+        busy_time_by_route: Histogram of the processor time that the process
+            used during a request, in microseconds, by route.
     """
 
     counter_by_series: SeriesCounter[tuple[str, Labels]] = field(
@@ -66,6 +72,7 @@
         default_factory=dict
     )
     latency_by_route: dict[str, HdrHistogram] = field(default_factory=dict)
+    busy_time_by_route: dict[str, HdrHistogram] = field(default_factory=dict)
 
 
 def increment_counter(metrics: Metrics, name: str, **labels: str) -> None:
@@ -95,10 +102,27 @@
         latency_s: Response time in seconds; it is clamped to the range of
             the histogram.
     """
-    histogram = metrics.latency_by_route.get(route)
+    _record_time(metrics.latency_by_route, route, latency_s)
+
+
+def record_busy_time(metrics: Metrics, route: str, busy_s: float) -> None:
+    """Record the processor time that the process used during a request.
+
+    Args:
+        metrics: Metrics of the process.
+        route: Name of the route.
+        busy_s: Processor time in seconds; it is clamped like a response time.
+    """
+    _record_time(metrics.busy_time_by_route, route, busy_s)
+
+
+def _record_time(
+    histogram_by_route: dict[str, HdrHistogram], route: str, time_s: float
+) -> None:
+    histogram = histogram_by_route.get(route)
     if histogram is None:
-        histogram = metrics.latency_by_route[route] = _new_histogram()
-    histogram.record_value(max(1, min(MAX_LATENCY_US, int(latency_s * 1e6))))
+        histogram = histogram_by_route[route] = _new_histogram()
+    histogram.record_value(max(1, min(MAX_LATENCY_US, int(time_s * 1e6))))
 
 
 def render_exposition(metrics: Metrics) -> tuple[bytes, str]:
@@ -125,16 +149,20 @@
                 name, HELP_BY_NAME[name], registry=registry
             )
         metric_by_name[name].set(dict(labels), gauge)
-    name = "berylspool_latency_seconds"
-    for route, histogram in metrics.latency_by_route.items():
-        if name not in metric_by_name:
-            metric_by_name[name] = Gauge(
-                name, HELP_BY_NAME[name], registry=registry
-            )
-        for percentile in PERCENTILES:
-            value_us = histogram.get_value_at_percentile(percentile)
-            quantile = f"{percentile / 100:g}"
-            latency_labels = {"route": route, "quantile": quantile}
-            metric_by_name[name].set(latency_labels, value_us / 1e6)
+    histograms_by_name = {
+        "berylspool_latency_seconds": metrics.latency_by_route,
+        "berylspool_busy_seconds": metrics.busy_time_by_route,
+    }
+    for name, histogram_by_route in histograms_by_name.items():
+        for route, histogram in histogram_by_route.items():
+            if name not in metric_by_name:
+                metric_by_name[name] = Gauge(
+                    name, HELP_BY_NAME[name], registry=registry
+                )
+            for percentile in PERCENTILES:
+                value_us = histogram.get_value_at_percentile(percentile)
+                quantile = f"{percentile / 100:g}"
+                time_labels = {"route": route, "quantile": quantile}
+                metric_by_name[name].set(time_labels, value_us / 1e6)
     body, headers = render(registry, ["text/plain"])
     return body, headers["Content-Type"]
--- /dev/null
+++ b/berylspool/common/request_event.py
@@ -0,0 +1,39 @@
+"""Log events about whole requests; docs/LOGS.md documents them."""
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+from berylspool.common.event import Event
+
+__all__ = ["RequestEnded"]
+
+
+@dataclass(frozen=True, slots=True)
+class RequestEnded(Event):
+    """A forwarded request ended late, incomplete or without an answer.
+
+    Attributes:
+        request: Id of the request.
+        route: Name of the route.
+        plan: Number of the forwarding plan.
+        listing: Listing in force, as epoch and serial.
+        outcome: Kind of the outcome, and the reason of a refusal.
+        missing: Reason of each missing part, by service.
+        last: Service that answered last; empty if unknown.
+        copies: Number of copies that were sent; 0 for a refusal.
+        latency_ms: Time until the outcome, in ms.
+        busy_ms: Processor time that the process used in this time, for this
+            request and for others, in ms.
+    """
+
+    number: ClassVar[int] = 2007
+    request: str
+    route: str
+    plan: int
+    listing: str
+    outcome: str
+    missing: dict[str, str]
+    last: str
+    copies: int
+    latency_ms: float
+    busy_ms: float = 0.0
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarder.py
@@ -38,6 +38,7 @@
     update_moves,
 )
 from berylspool.process.entry.request_accounting import (
+    Stopwatch,
     count_event,
     count_reply,
     record_outcome,
@@ -227,22 +228,24 @@
         Returns:
             An answer or a refusal, no later than the deadline.
         """
-        started_at = self._clock()
+        stopwatch = Stopwatch(self._clock)
         if not self.state.initialized.is_set():
             await self._wait_for_plan(request)
         view = self.state.view.value
         refusal = self._find_refusal(request, caller_gone)
+        if refusal is not None:
+            return self._record_refusal(refusal)
         route = find_route(view.plan, request.host, request.path)
-        if refusal is None and route is None:
+        if route is None:
             refusal = Refusal(request.id, Reason.UNKNOWN_ROUTE, True, 0.0)
-        if refusal is not None or route is None:
-            assert refusal is not None
             return self._record_refusal(refusal)
         self._query_serial += 1
+        serial = self._query_serial
         hedge_share = self.settings.routing.hedge_share
         early_s = early_margin_s(self._timer_lag, route.target_latency_s)
+        arrived_at = stopwatch.started_at
         query = new_query(
-            request, route, self._query_serial, hedge_share, early_s, started_at
+            request, route, serial, hedge_share, early_s, arrived_at
         )
         if is_convicted(self._evidence, query.fingerprint):
             return self._record_refusal(
@@ -263,7 +266,7 @@
             pinned,
             self.state.listing_name,
             outcome,
-            self._clock() - started_at,
+            stopwatch,
         )
         return outcome
 
--- a/berylspool/process/entry/request_accounting.py
+++ b/berylspool/process/entry/request_accounting.py
@@ -1,15 +1,21 @@
 """Metrics and log events of the requests at a forwarding entry."""
 
+import time
 from collections.abc import Callable
 
 from berylspool.common.event import (
     Event,
-    RequestEnded,
     RequestServed,
     UpstreamNoticed,
     UpstreamOverran,
 )
-from berylspool.common.metric import Metrics, increment_counter, record_latency
+from berylspool.common.metric import (
+    Metrics,
+    increment_counter,
+    record_busy_time,
+    record_latency,
+)
+from berylspool.common.request_event import RequestEnded
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
 from berylspool.version.containment import (
@@ -26,6 +32,7 @@
 )
 
 __all__ = [
+    "Stopwatch",
     "count_event",
     "count_reply",
     "record_outcome",
@@ -34,6 +41,37 @@
 ]
 
 NO_ROUTE_LABEL = "none"
+MS_PER_S = 1000.0
+
+
+class Stopwatch:
+    """Measures a request: the time until now, and the processor time in it.
+
+    The difference is time in which the request waited for upstreams, or the
+    process for the processor.
+
+    Args:
+        clock: Returns the monotonic time in seconds.
+        processor_clock: Returns the processor time of the process in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: Callable[[], float],
+        processor_clock: Callable[[], float] = time.process_time,
+    ) -> None:
+        self._clock = clock
+        self._processor_clock = processor_clock
+        self._busy_s_at_start = processor_clock()
+        self.started_at = clock()
+
+    def elapsed_s(self) -> float:
+        """Return the time since the start, in seconds."""
+        return self._clock() - self.started_at
+
+    def busy_s(self) -> float:
+        """Return the processor time used since the start, in seconds."""
+        return self._processor_clock() - self._busy_s_at_start
 
 
 def count_event(metrics: Metrics, event: Event) -> None:
@@ -129,7 +167,7 @@
     pinned: PinnedMap,
     listing_name: str,
     outcome: Outcome,
-    latency_s: float,
+    stopwatch: Stopwatch,
 ) -> None:
     """Count a request; log it unless it was answered in full and in time.
 
@@ -144,8 +182,9 @@
         pinned: Snapshot and services that the request was pinned to.
         listing_name: Epoch and serial of the listing in force.
         outcome: Outcome returned to the caller.
-        latency_s: Time from the request to its outcome, in seconds.
+        stopwatch: Started when the request arrived.
     """
+    latency_s, busy_s = stopwatch.elapsed_s(), stopwatch.busy_s()
     match outcome:
         case Answer(coverage=coverage):
             outcome_label = "answered" if coverage.is_whole else "thin"
@@ -158,6 +197,7 @@
         outcome=outcome_label,
     )
     record_latency(metrics, route.name, latency_s)
+    record_busy_time(metrics, route.name, busy_s)
     if outcome_label == "answered" and latency_s <= (
         route.target_latency_s or latency_s
     ):
@@ -183,6 +223,7 @@
             reason_by_service,
             last_service,
             copies,
-            round(latency_s * 1000, 1),
+            round(latency_s * MS_PER_S, 1),
+            round(busy_s * MS_PER_S, 1),
         )
     )
--- a/berylspool/process/held_lines.py
+++ b/berylspool/process/held_lines.py
@@ -8,8 +8,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from berylspool.common.event import Event, RequestEnded
+from berylspool.common.event import Event
 from berylspool.common.part_event import PartChosen
+from berylspool.common.request_event import RequestEnded
 
 __all__ = [
     "HeldLine",
--- a/berylspool/process/log.py
+++ b/berylspool/process/log.py
@@ -14,11 +14,11 @@
     Event,
     LinesDropped,
     LinesLeftOut,
-    RequestEnded,
     RequestServed,
 )
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.part_event import HedgeDenied, PartAbandoned, PartChosen
+from berylspool.common.request_event import RequestEnded
 from berylspool.process.held_lines import (
     HeldLine,
     HeldLines,
--- a/berylspool/process/tests/test_log.py
+++ b/berylspool/process/tests/test_log.py
@@ -8,10 +8,10 @@
 
 from berylspool.common.event import (
     LeaseChanged,
-    RequestEnded,
     RequestServed,
 )
 from berylspool.common.part_event import HedgeDenied, PartChosen
+from berylspool.common.request_event import RequestEnded
 from berylspool.process.held_lines import MAX_HELD_LINES
 from berylspool.process.log import (
     MAX_BUFFERED_BYTES,
--- a/berylspool/tool/tests/test_explain.py
+++ b/berylspool/tool/tests/test_explain.py
@@ -2,8 +2,9 @@
 
 import orjson
 
-from berylspool.common.event import LinesDropped, RequestEnded
+from berylspool.common.event import LinesDropped
 from berylspool.common.part_event import PartChosen
+from berylspool.common.request_event import RequestEnded
 from berylspool.tool.explain import explain
 
 
