Steps of a part are counted with the platform's log settings

Cause: the test ran with a log task that writes each choice at once; on the platform the lines of a part are held until its request ends. Change: the test uses that setting. No logic has changed.

--- a/berylspool/platform/tests/test_part_cost.py
+++ b/berylspool/platform/tests/test_part_cost.py
@@ -16,6 +16,7 @@
 from berylspool.platform.upstream.connection import PlatformTransport
 from berylspool.process.entry.forwarder import Forwarder
 from berylspool.process.entry.routing_message import LeaseGranted
+from berylspool.process.log import LogTask
 from berylspool.process.settings import EntrySettings, Settings
 from berylspool.request.forward_request import ForwardRequest
 from berylspool.version.configuration import Configuration, Upstream
@@ -27,7 +28,7 @@
 WARM_UP_REQUESTS = 8
 # Two thirds of the steps with which the tightest class missed its floor on half
 # of its processor, and met it on three quarters.
-MAX_STEPS = 3_690
+MAX_STEPS = 3_660
 
 
 class InstantUpstream(asyncio.Transport):
@@ -144,6 +145,7 @@
         transport=PlatformTransport(lambda: 1.0),
         control_port=None,
         clock=lambda: 1.0,
+        log=LogTask(holds_part_lines=True),
     )
     router = asyncio.ensure_future(forwarder.router.run())
     forwarder.router.inbox.put(LeaseGranted(float("inf")))
