--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -36,14 +36,14 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
 class Event:
-    """Base class of all log events.
+    """Base class of all log events, which are data classes.
 
     Attributes:
         number: Unique number of the class in the log.
     """
 
+    __slots__ = ()
     number: ClassVar[int] = 0
 
 
--- a/berylspool/common/mailbox.py
+++ b/berylspool/common/mailbox.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Generic, TypeVar
 
 __all__ = ["Mailbox"]
@@ -38,6 +38,14 @@
         if self._put_callback is not None:
             self._put_callback()
 
+    def put_all(self, messages: Iterable[T]) -> None:
+        """Add messages and wake the reader once."""
+        self._messages.extend(messages)
+        if self._waiter is not None:
+            _wake(self._waiter)
+        if self._put_callback is not None:
+            self._put_callback()
+
     def clear(self) -> None:
         """Discard all pending messages."""
         self._messages.clear()
--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -7,7 +7,9 @@
 
 __all__ = [
     "Metrics",
+    "Series",
     "increment_counter",
+    "make_series",
     "record_busy_time",
     "record_latency",
     "render_exposition",
@@ -19,6 +21,7 @@
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
 Labels = tuple[tuple[str, str], ...]
+Series = tuple[str, Labels]
 
 HELP_BY_NAME = {
     "berylspool_requests_total": "Caller requests, by route and outcome.",
@@ -65,12 +68,10 @@
             used during a request, in microseconds, by route.
     """
 
-    counter_by_series: SeriesCounter[tuple[str, Labels]] = field(
+    counter_by_series: SeriesCounter[Series] = field(
         default_factory=SeriesCounter
     )
-    gauge_by_series: dict[tuple[str, Labels], float] = field(
-        default_factory=dict
-    )
+    gauge_by_series: dict[Series, float] = field(default_factory=dict)
     latency_by_route: dict[str, HdrHistogram] = field(default_factory=dict)
     busy_time_by_route: dict[str, HdrHistogram] = field(default_factory=dict)
 
@@ -85,12 +86,17 @@
         >>> "berylspool_requests_total" in body.decode()
         True
     """
-    metrics.counter_by_series[name, tuple(sorted(labels.items()))] += 1
+    metrics.counter_by_series[make_series(name, **labels)] += 1
+
+
+def make_series(name: str, **labels: str) -> Series:
+    """Return the key of a series, which counting may use again and again."""
+    return name, tuple(sorted(labels.items()))
 
 
 def set_gauge(metrics: Metrics, name: str, value: float, **labels: str) -> None:
     """Set a gauge."""
-    metrics.gauge_by_series[name, tuple(sorted(labels.items()))] = value
+    metrics.gauge_by_series[make_series(name, **labels)] = value
 
 
 def record_latency(metrics: Metrics, route: str, latency_s: float) -> None:
--- a/berylspool/common/part_event.py
+++ b/berylspool/common/part_event.py
@@ -8,7 +8,7 @@
 __all__ = ["HedgeDenied", "PartAbandoned", "PartChosen"]
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class PartChosen(Event):
     """An upstream was chosen for a copy of a part.
 
--- a/berylspool/common/shared_timer.py
+++ b/berylspool/common/shared_timer.py
@@ -14,9 +14,14 @@
 
     Attributes:
         callback: Called at that time; None once it has run or is cancelled.
+        due_at: The time, in monotonic seconds.
+        queued_at: Time of its latest entry in the queue of the timer, which may
+            be earlier.
     """
 
     callback: Callable[[], None] | None
+    due_at: float
+    queued_at: float
 
     def cancel(self) -> None:
         """Prevent the call."""
@@ -45,13 +50,27 @@
         self, delay_s: float, callback: Callable[[], None]
     ) -> Timeout:
         """Call a function after a delay in seconds, unless it is cancelled."""
-        timeout = Timeout(callback)
-        self._last_serial += 1
         due_at = self._clock() + delay_s
+        timeout = Timeout(callback, due_at, due_at)
+        self._queue(timeout)
+        return timeout
+
+    def restart(self, timeout: Timeout, delay_s: float) -> None:
+        """Move a call to a delay in seconds from now, unless it has ended.
+
+        A later time costs next to nothing.
+        """
+        timeout.due_at = due_at = self._clock() + delay_s
+        if due_at < timeout.queued_at and timeout.callback is not None:
+            timeout.queued_at = due_at
+            self._queue(timeout)
+
+    def _queue(self, timeout: Timeout) -> None:
+        self._last_serial += 1
+        due_at = timeout.queued_at
         heapq.heappush(self._timeouts, (due_at, self._last_serial, timeout))
         if due_at < self._wake_at:
             self._set_timer(due_at)
-        return timeout
 
     def _set_timer(self, wake_at: float) -> None:
         if self._handle is not None:
@@ -65,11 +84,18 @@
         self._handle, self._wake_at = None, float("inf")
         now = self._clock()
         while self._timeouts:
-            due_at, _, timeout = self._timeouts[0]
-            if timeout.callback is not None and due_at > now:
-                self._set_timer(min(due_at, self._wake_at))
+            queued_at, _, timeout = self._timeouts[0]
+            is_current = queued_at == timeout.queued_at and timeout.callback
+            if is_current and queued_at > now:
+                self._set_timer(min(queued_at, self._wake_at))
                 return
             heapq.heappop(self._timeouts)
+            if not is_current:
+                continue
+            if timeout.due_at > now:
+                timeout.queued_at = timeout.due_at
+                self._queue(timeout)
+                continue
             callback, timeout.callback = timeout.callback, None
             if callback is not None:
                 callback()
--- a/berylspool/common/tests/test_shared_timer.py
+++ b/berylspool/common/tests/test_shared_timer.py
@@ -47,6 +47,30 @@
     assert run_scenario(scenario) == ["first", "last"]
 
 
+def test_restarted_callback_runs_once_at_its_new_time():
+    def scenario(timer, calls):
+        earlier = timer.call_after(0.04, lambda: calls.append("earlier"))
+        later = timer.call_after(0.01, lambda: calls.append("later"))
+        timer.call_after(0.02, lambda: calls.append("between"))
+        timer.call_after(0.06, lambda: calls.append("last"))
+        timer.restart(earlier, 0.005)
+        timer.restart(later, 0.03)
+        timer.restart(later, 0.05)
+
+    names = ["earlier", "between", "later", "last"]
+    assert run_scenario(scenario) == names
+
+
+def test_restarted_callback_that_has_ended_does_not_run():
+    def scenario(timer, calls):
+        cancelled = timer.call_after(0.02, lambda: calls.append("cancelled"))
+        cancelled.cancel()
+        timer.restart(cancelled, 0.001)
+        timer.call_after(0.03, lambda: calls.append("last"))
+
+    assert run_scenario(scenario) == ["last"]
+
+
 def test_cancelled_timeouts_do_not_pile_up():
     async def run():
         timer = SharedTimer(time.monotonic)
--- a/berylspool/platform/upstream/codec.py
+++ b/berylspool/platform/upstream/codec.py
@@ -1,9 +1,11 @@
 """Encoding of requests to the platform's upstreams, decoding of responses."""
 
 import functools
+import struct
+from itertools import chain
 
 from berylspool.platform import headers
-from berylspool.platform.upstream.response import Response
+from berylspool.platform.upstream.response import Response, to_key
 from berylspool.request.query import (
     Forward,
     Part,
@@ -29,12 +31,17 @@
     "decode_response",
 ]
 
-RECORD_BYTES = 16
+RECORD = struct.Struct("16s")
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MS_PER_S = 1000.0
 
 REQUEST_ID_NAME = headers.REQUEST_ID.lower()
+STAMP_KEY = to_key(headers.RESPONSE_STAMP)
+NOT_EXECUTED_KEY = to_key(headers.NOT_EXECUTED)
+LOAD_KEY = to_key(headers.SERVER_LOAD)
+LEAVING_KEY = to_key(headers.SERVER_LEAVING)
+CONTENT_ENCODING_KEY = to_key("Content-Encoding")
 # Small numbers repeat; each answer states three.
 MAX_CACHED_LOADS = 4096
 
@@ -53,7 +60,8 @@
 
     def get_id(self, part: Part) -> str:
         """Return the id that a part is sent with; empty without one."""
-        self._encode_shared(part)
+        if part.forward is not self._forward:
+            self._encode_shared(part)
         return self._request_id
 
     def encode(self, part: Part, upstream: Upstream, timeout_s: float) -> bytes:
@@ -68,7 +76,8 @@
         Returns:
             The whole HTTP request.
         """
-        self._encode_shared(part)
+        if part.forward is not self._forward:
+            self._encode_shared(part)
         timeout_ms = max(1, int(timeout_s * MS_PER_S))
         head = (
             f"{self._head}{timeout_ms}\r\n"
@@ -79,8 +88,6 @@
     def _encode_shared(self, part: Part) -> None:
         forward = part.forward
         assert forward is not None
-        if forward is self._forward:
-            return
         lines = [f"{forward.method} {forward.target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in forward.headers]
         self._request_id = next(
@@ -108,11 +115,11 @@
     Returns:
         An answer, a refusal without any work done, or an error.
     """
-    status, stamp = response.status, response.get(headers.RESPONSE_STAMP)
+    status, stamp = response.status, response.get_by_key(STAMP_KEY)
     body = bytes(response.body)
     if status == STATUS_MISDIRECTED:
         return NotRunReply(Reason.NO_UPSTREAM)
-    if response.get(headers.NOT_EXECUTED):
+    if response.value_by_name.get(NOT_EXECUTED_KEY):
         return NotRunReply(Reason.OVERLOAD)
     if not 200 <= status < 300:
         return ErrorReply(
@@ -120,19 +127,16 @@
         )
     if not stamp:
         return ErrorReply(Reason.TRUNCATED)
-    if response.get("content-encoding"):
+    if response.value_by_name.get(CONTENT_ENCODING_KEY):
         return ErrorReply(Reason.TRUNCATED)
     snapshot: Snapshot = part.snapshot
     if part.forward is None or not part.forward.is_part:
         return RowsReply(
             snapshot, (_to_upstream_response(response, body),), stamp
         )
-    records_end = len(body) - len(body) % RECORD_BYTES
-    records = [
-        body[start : start + RECORD_BYTES]
-        for start in range(0, records_end, RECORD_BYTES)
-    ]
-    return RowsReply(snapshot, tuple(records), stamp)
+    records_end = len(body) - len(body) % RECORD.size
+    records = RECORD.iter_unpack(body[:records_end])
+    return RowsReply(snapshot, tuple(chain.from_iterable(records)), stamp)
 
 
 def _to_upstream_response(response: Response, body: bytes) -> UpstreamResponse:
@@ -146,7 +150,7 @@
 
 def decode_load(response: Response) -> ReportedLoad | None:
     """Return the load that a response reports, or None if it has none."""
-    text = response.get(headers.SERVER_LOAD)
+    text = response.get_by_key(LOAD_KEY)
     return _parse_load(text) if text else None
 
 
@@ -164,8 +168,11 @@
 
 def decode_notice(response: Response) -> UpstreamNotice | None:
     """Decode what the upstream says of itself; None if it says nothing."""
-    is_leaving = response.get(headers.SERVER_LEAVING).strip() == "1"
-    if response.status != STATUS_UNAVAILABLE:
+    is_unavailable = response.status == STATUS_UNAVAILABLE
+    if not is_unavailable and LEAVING_KEY not in response.value_by_name:
+        return None
+    is_leaving = response.get_by_key(LEAVING_KEY).strip() == "1"
+    if not is_unavailable:
         return UpstreamNotice(is_leaving=True) if is_leaving else None
     text = response.get(headers.RETRY_AFTER)
     if not (is_leaving or text):
--- a/berylspool/platform/upstream/connection.py
+++ b/berylspool/platform/upstream/connection.py
@@ -21,6 +21,7 @@
     MAX_RESPONSE_BYTES,
     Response,
     ResponseReader,
+    to_key,
 )
 from berylspool.process.settings import MemoryLimits
 from berylspool.version.configuration import Upstream
@@ -46,6 +47,8 @@
 DEFAULT_IDLE_TIMEOUT_S = 60.0
 # A part of a wide request has far less to say than a whole response.
 MAX_PART_BYTES = 1024 * 1024
+CONNECTION_KEY = to_key("Connection")
+KEEP_ALIVE_KEY = to_key("Keep-Alive")
 # Share of a process's memory for responses that are not whole yet.
 BUFFER_SHARE = 0.15
 
@@ -127,7 +130,7 @@
         self._last_sent_id = 0
         self._has_stopped = asyncio.Event()
         self._is_close_planned = False
-        self._keep_alive = ""
+        self._keep_alive = b""
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._timeout: Timeout | None = None
         self._protocol = _StreamProtocol(self)
@@ -194,9 +197,12 @@
 
     def _stop_after(self, delay_s: float) -> None:
         """Stop at a time that replaces the one before."""
-        if self._timeout is not None:
-            self._timeout.cancel()
-        self._timeout = self._timer.call_after(delay_s, self._handle_timeout)
+        if self._timeout is None:
+            self._timeout = self._timer.call_after(
+                delay_s, self._handle_timeout
+            )
+        else:
+            self._timer.restart(self._timeout, delay_s)
 
     def _handle_timeout(self) -> None:
         self._is_close_planned = self._pending is None
@@ -279,18 +285,19 @@
         )
         # A second copy of a refusal would carry the id of the retry, too.
         is_final = 200 <= response.status < 300 or pending.part.idempotent
-        is_last = response.get("connection").lower() == "close"
+        connection = response.value_by_name.get(CONNECTION_KEY, b"")
+        is_last = connection.lower() == b"close"
         if self.reader.has_foreign_bytes:
             self.stop()
         elif is_last or not is_final or not self.reader.is_reusable:
             self.stop_planned()
 
     def _update_idle_timeout(self, response: Response) -> None:
-        keep_alive = response.get("keep-alive")
+        keep_alive = response.value_by_name.get(KEEP_ALIVE_KEY, b"")
         if keep_alive == self._keep_alive:
             return
         self._keep_alive = keep_alive
-        for parameter in keep_alive.split(","):
+        for parameter in keep_alive.decode("latin-1").split(","):
             name, _, value = parameter.strip().partition("=")
             timeout_s = headers.parse_whole_number(value)
             if name == "timeout" and timeout_s is not None:
--- a/berylspool/platform/upstream/response.py
+++ b/berylspool/platform/upstream/response.py
@@ -6,8 +6,6 @@
 another.  The reader returns a response only if no such bytes can be part of it.
 """
 
-import functools
-from collections import deque
 from dataclasses import dataclass, field
 
 import httptools
@@ -22,8 +20,20 @@
     "MAX_UNNEEDED_BYTES",
     "Response",
     "ResponseReader",
+    "to_key",
 ]
 
+
+def to_key(name: str) -> bytes:
+    """Return the name of a header as responses are indexed by it.
+
+    Examples:
+        >>> to_key("Keep-Alive")
+        b'keep-alive'
+    """
+    return name.lower().encode("latin-1")
+
+
 # An upstream in trouble may send bytes without end. The first limit is for
 # heads, and for all bytes that are no body beyond as many as the body has; the
 # others count all bytes since the request was sent.
@@ -42,11 +52,11 @@
 FIRST_FINAL_STATUS = 200
 # Copies come within a second or so; a connection carries a few requests in it.
 MAX_KNOWN_IDS = 16
-REQUEST_ID_KEY = headers.REQUEST_ID.lower().encode("latin-1")
+REQUEST_ID_KEY = to_key(headers.REQUEST_ID)
 CONTENT_LENGTH_KEY = b"content-length"
 # Headers that say whose response it is, and what it says of the request.
 IDENTITY_HEADERS = frozenset(
-    name.lower().encode("latin-1")
+    to_key(name)
     for name in (
         headers.REQUEST_ID,
         headers.RESPONSE_STAMP,
@@ -63,7 +73,7 @@
         status: HTTP status; 0 until it is known.
         echoed_id: Id of the request that it states; empty if it states none.
         reason_phrase: Text after the status.
-        headers: Headers in the order received, as bytes.
+        raw_headers: Headers in the order received, with blanks around values.
         value_by_name: Last value of each header, by lower-case name; filled
             once the head is complete.
         body: The body received so far.
@@ -73,16 +83,28 @@
     status: int = 0
     echoed_id: str = ""
     reason_phrase: bytes = b""
-    headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    raw_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
     value_by_name: dict[bytes, bytes] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
     is_kept: bool = True
 
     def get(self, name: str) -> str:
         """Return the value of a header, or an empty string."""
-        value = self.value_by_name.get(_lower_case(name))
+        return self.get_by_key(to_key(name))
+
+    def get_by_key(self, key: bytes) -> str:
+        """Return the value of a header by its `to_key`, or an empty string."""
+        value = self.value_by_name.get(key)
         return value.decode("latin-1") if value else ""
 
+    @property
+    def headers(self) -> list[tuple[bytes, bytes]]:
+        """Headers in the order received, as bytes."""
+        return [
+            (name, value.strip(OPTIONAL_WHITESPACE))
+            for name, value in self.raw_headers
+        ]
+
     @property
     def has_length(self) -> bool:
         """Whether the response itself marks the end of its body."""
@@ -93,12 +115,6 @@
         )
 
 
-@functools.cache
-def _lower_case(name: str) -> bytes:
-    """Return the name of a header as responses are indexed by it."""
-    return name.lower().encode("latin-1")
-
-
 class ResponseReader:
     """Reads the responses on one connection, which has one request at a time.
 
@@ -122,12 +138,15 @@
         self._has_body = True
         self._max_bytes = MAX_RESPONSE_BYTES
         self._is_needed = True
-        self._body_bytes = self._dropped_bytes = self._header_count = 0
-        self._message_count = 0
+        self._body_bytes = self._dropped_bytes = self._message_count = 0
+        # Headers or trailers that are being received, and how many more than
+        # these the responses to the request may still have.
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._header_room = MAX_HEADERS
         # What the response in flight has too much of; empty if nothing.
         self._excess = ""
-        # Ids of the latest responses that had a body.
-        self._known_ids: deque[str] = deque(maxlen=MAX_KNOWN_IDS)
+        # Ids of the latest responses that had a body, oldest first.
+        self._known_ids: dict[str, None] = {}
 
     @property
     def buffered_bytes(self) -> int:
@@ -155,8 +174,8 @@
             has_body: Whether a response to such a request may have a body.
         """
         self.received_bytes = 0
-        self._body_bytes = self._dropped_bytes = self._header_count = 0
-        self._message_count = 0
+        self._body_bytes = self._dropped_bytes = self._message_count = 0
+        self._headers, self._header_room = [], MAX_HEADERS
         self._has_body = has_body
         self._expected_id = request_id
         self._max_bytes = max_bytes
@@ -214,6 +233,11 @@
         self.is_reusable = False
         return response if is_complete and self._is_expected(response) else None
 
+    def _remember(self, request_id: str) -> None:
+        self._known_ids[request_id] = None
+        if len(self._known_ids) > MAX_KNOWN_IDS:
+            del self._known_ids[next(iter(self._known_ids))]
+
     def _mark_foreign_bytes(self) -> None:
         self.has_foreign_bytes = True
         self.is_reusable = False
@@ -268,6 +292,8 @@
             self._mark_foreign_bytes()
         self._response = Response()
         self._is_head_complete = False
+        self._header_room -= len(self._headers)
+        self._headers = []
 
     def on_status(self, text: bytes) -> None:
         """Store the reason phrase, which may arrive in pieces."""
@@ -280,12 +306,10 @@
             ResponseTooLargeError: There are too many of them; a piece may hold
                 more than can be read in passing.
         """
-        self._header_count += 1
-        if self._header_count > MAX_HEADERS:
+        headers = self._headers
+        headers.append((name, value))
+        if len(headers) > self._header_room:
             self._raise_in_callback("headers")
-        if not self._is_head_complete:
-            value = value.strip(OPTIONAL_WHITESPACE)
-            self._response.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Index the head, and refuse a body that states that it is too long.
@@ -297,12 +321,16 @@
         response = self._response
         response.status = self._parser.get_status_code()
         self._is_head_complete = True
-        value_by_name = response.value_by_name
-        for name, value in response.headers:
-            key = name.lower()
-            if key in value_by_name and key in IDENTITY_HEADERS:
-                self._reject_conflict(key, value)
-            value_by_name[key] = value
+        response.raw_headers = self._headers
+        self._header_room -= len(self._headers)
+        # Trailers follow; they are only counted.
+        self._headers = []
+        value_by_name = response.value_by_name = {
+            name.lower(): value.strip(OPTIONAL_WHITESPACE)
+            for name, value in response.raw_headers
+        }
+        if len(value_by_name) < len(response.raw_headers):
+            self._reject_conflicts()
         if self._has_earlier_response:
             self._reject_mixture()
         echoed_id = value_by_name.get(REQUEST_ID_KEY)
@@ -319,10 +347,13 @@
             self._complete_response()
             self.is_reusable = False
 
-    def _reject_conflict(self, key: bytes, value: bytes) -> None:
+    def _reject_conflicts(self) -> None:
         """Raise an error if a header that says whose response it is differs."""
-        if self._response.value_by_name[key] != value:
-            raise ProtocolError(f"two values of {key!r}")
+        last_by_key = self._response.value_by_name
+        for name, value in self._response.headers:
+            key = name.lower()
+            if key in IDENTITY_HEADERS and last_by_key[key] != value:
+                raise ProtocolError(f"two values of {key!r}")
 
     def _reject_mixture(self) -> None:
         """Raise an error if the head may have swallowed another status line.
@@ -333,9 +364,11 @@
         response = self._response
         if has_status_line(response.reason_phrase):
             raise ProtocolError("status line inside a status line")
-        for _, value in response.headers:
-            if b"/" in value and has_status_line(value):
-                raise ProtocolError("status line inside a header")
+        values = b"\n".join(response.value_by_name.values())
+        if len(response.value_by_name) < len(response.raw_headers):
+            values = b"\n".join([value for _, value in response.raw_headers])
+        if b"/" in values and has_status_line(values):
+            raise ProtocolError("status line inside a header")
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body, unless it is that of a late copy."""
@@ -352,15 +385,13 @@
     def _complete_response(self) -> None:
         response = self._response
         self._is_head_complete = False
-        if response.status < FIRST_FINAL_STATUS:
-            return
-        if self._expected_response is not None:
-            # A further whole response in the same piece.
+        if response.status < FIRST_FINAL_STATUS or self._expected_response:
+            # Interim, or a further whole response in the same piece.
             return
         if self._is_expected(response):
             self._expected_response = response
             if response.body:
-                self._known_ids.append(response.echoed_id)
+                self._remember(response.echoed_id)
             self.is_reusable = self.is_reusable and response.has_length
         else:
             # A late copy; more of its kind may follow the expected response.
--- a/berylspool/process/entry/reply_statistics.py
+++ b/berylspool/process/entry/reply_statistics.py
@@ -111,6 +111,8 @@
         statistics: Reply statistics, changed in place.
         observed_reply: Reply of an upstream, or a copy cancelled without one.
     """
+    if not statistics.move_by_route:
+        return
     part = observed_reply.part
     # Services of forwarded requests move separately, other routes as a whole.
     moved_name = part.route if part.forward is None else part.service
--- a/berylspool/process/entry/request_accounting.py
+++ b/berylspool/process/entry/request_accounting.py
@@ -1,5 +1,6 @@
 """Metrics and log events of the requests at a forwarding entry."""
 
+import functools
 import time
 from collections.abc import Callable
 
@@ -11,7 +12,9 @@
 )
 from berylspool.common.metric import (
     Metrics,
+    Series,
     increment_counter,
+    make_series,
     record_busy_time,
     record_latency,
 )
@@ -41,6 +44,8 @@
 ]
 
 NO_ROUTE_LABEL = "none"
+# A few kinds of replies for each service of a plan.
+MAX_CACHED_SERIES = 4096
 MS_PER_S = 1000.0
 
 
@@ -87,17 +92,19 @@
 
 def count_reply(metrics: Metrics, observed_reply: ObservedReply) -> None:
     """Count an upstream's reply, or a copy cancelled without one."""
-    service, reply_kind = (
-        observed_reply.part.service,
-        type(observed_reply.reply).__name__,
-    )
-    increment_counter(
-        metrics, "berylspool_parts_total", service=service, reply=reply_kind
-    )
-    if reply_kind == OutrunReply.__name__:
+    service, reply = observed_reply.part.service, observed_reply.reply
+    metrics.counter_by_series[_parts_series(service, type(reply).__name__)] += 1
+    if isinstance(reply, OutrunReply):
         increment_counter(metrics, "berylspool_hedges_total", service=service)
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_SERIES)
+def _parts_series(service: str, reply_kind: str) -> Series:
+    return make_series(
+        "berylspool_parts_total", service=service, reply=reply_kind
+    )
+
+
 def update_containment(
     evidence: CrashEvidence, observed_reply: ObservedReply, now: float
 ) -> None:
@@ -111,14 +118,14 @@
         observed_reply: Reply of an upstream, or a copy cancelled without one.
         now: Monotonic time in seconds.
     """
-    fingerprint, upstream = (
-        observed_reply.part.fingerprint,
-        observed_reply.upstream_id,
-    )
+    fingerprint = observed_reply.part.fingerprint
     match observed_reply.reply:
+        case RowsReply():
+            record_answer(evidence, fingerprint, now)
         case ErrorReply(reason=Reason.CONNECTION_LOST):
+            upstream = observed_reply.upstream_id
             record_loss(evidence, fingerprint, upstream, now)
-        case RowsReply() | ErrorReply():
+        case ErrorReply():
             record_answer(evidence, fingerprint, now)
 
 
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -34,8 +34,10 @@
     PoolDrained,
     ReportTableDrained,
     ResultReceived,
+    ResultsReceived,
     RoutingAction,
     RoutingEvent,
+    SendAllToOrigin,
     SendToAllPeers,
     SendToOrigin,
     SendToPeer,
@@ -142,7 +144,7 @@
             tuning,
             inbox=self.inbox,
             listener=PoolListener(
-                on_result=lambda result: self._handle(ResultReceived(result)),
+                on_result=lambda result: self._results.append(result),
                 on_verdict=lambda blame: self.inbox.put(BlameRaised(blame)),
                 on_borrow=on_borrow,
                 on_drained=lambda key: self.inbox.put(PoolDrained(key)),
@@ -156,12 +158,15 @@
         self._link_by_member: dict[str, Link] = {}
         self._link_task_by_member: dict[str, asyncio.Task[None]] = {}
         self._inbox_by_request: dict[str, Mailbox[Any]] = {}
+        # Results of this turn, which are passed on together at its end.
+        self._results: list[PartResult] = []
 
     async def run(self) -> None:
         """Serve the inbox until the task is cancelled."""
         try:
             while True:
                 wait_s = self._pools.run_due_pools()
+                self._return_results()
                 has_held_parts = bool(self.routing.held_part_ids)
                 if has_held_parts:
                     wait_s = (
@@ -174,6 +179,7 @@
                     self._handle(message)
                 if has_held_parts and not messages:
                     self._handle(HeldPartsRetryDue())
+                self._return_results()
         finally:
             self._pools.stop()
             for task in self._link_task_by_member.values():
@@ -198,16 +204,21 @@
                 SlownessJudged(judgement.id, judgement.slowness, now + valid_s)
             )
 
+    def _return_results(self) -> None:
+        if self._results:
+            results, self._results = self._results, []
+            self._handle(ResultsReceived(results))
+
     def _handle(self, message: RouterMessage) -> None:
         match message:
+            case PoolMessage():
+                self._pools.receive(message)
             case Subscribe(request_id=request_id, inbox=inbox):
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
                 self._inbox_by_request.pop(request_id, None)
             case UpstreamsListed(ids=ids):
                 self._pools.forget_unlisted(ids)
-            case PoolMessage():
-                self._pools.receive(message)
             case SlownessJudged():
                 self._pools.judge(message)
             case _:
@@ -226,8 +237,10 @@
             case SendToAllPeers(message=blame):
                 for link in self._link_by_member.values():
                     link.inbox.put(blame)
+            case SendAllToOrigin(origin=origin, results=results):
+                self._send_to_origin(origin, results)
             case SendToOrigin(origin=origin, result=result):
-                self._send_to_origin(origin, result)
+                self._send_to_origin(origin, [result])
             case StartPool(key=key):
                 self._start_pool(key)
             case StopPool(key=key):
@@ -244,7 +257,9 @@
         else:
             link.inbox.put(message)
 
-    def _send_to_origin(self, origin: Origin, result: PartResult) -> None:
+    def _send_to_origin(
+        self, origin: Origin, results: list[PartResult]
+    ) -> None:
         inbox: Mailbox[Any] | None
         if origin.is_session:
             session = self.peer_server.session_by_id.get(origin.id)
@@ -252,7 +267,7 @@
         else:
             inbox = self._inbox_by_request.get(origin.id)
         if inbox is not None:
-            inbox.put(result)
+            inbox.put_all(results)
 
     def _start_pool(self, key: PoolKey) -> None:
         self._pools.add(key)
--- a/berylspool/process/entry/routing.py
+++ b/berylspool/process/entry/routing.py
@@ -31,8 +31,10 @@
     LoanReceived,
     PoolDrained,
     ResultReceived,
+    ResultsReceived,
     RoutingAction,
     RoutingEvent,
+    SendAllToOrigin,
     SendToAllPeers,
     SendToOrigin,
     SendToPeer,
@@ -41,7 +43,12 @@
     ShuttingDown,
     TableChanged,
 )
-from berylspool.request.part_message import DiscardPart, Origin, RunPart
+from berylspool.request.part_message import (
+    DiscardPart,
+    Origin,
+    RunPart,
+    RunParts,
+)
 from berylspool.request.query import (
     Part,
     PartFailed,
@@ -80,6 +87,10 @@
         Actions that the router task performs, in order.
     """
     match event:
+        case ResultsReceived(results=results):
+            return _handle_results(routing, results, now)
+        case RunParts(origin=origin, parts=parts):
+            return _accept_parts(routing, origin, parts, now)
         case RunPart(origin=origin, part=part):
             return _accept_part(routing, origin, part, now)
         case DiscardPart(part_id=part_id, is_caller_gone=is_caller_gone):
@@ -150,13 +161,37 @@
     return _dispatch_part(routing, pending, now)
 
 
-def _refusal_reason(
-    routing: RoutingState, origin: Origin, part: Part, now: float
-) -> Reason | None:
+def _accept_parts(
+    routing: RoutingState, origin: Origin, parts: list[Part], now: float
+) -> list[RoutingAction]:
+    """Accept the parts of a local request, all of them or none."""
+    reason = _refusal_reason_for_all(routing, now)
+    actions: list[RoutingAction] = []
+    for part in parts:
+        if reason is not None:
+            refusal = PartRefused(part.id, reason, REFUSAL_RETRY_AFTER_S)
+            actions.append(SendToOrigin(origin, refusal))
+            continue
+        pending = PendingPart(part, origin, now + part.timeout_s)
+        routing.pending_by_part[part.id] = pending
+        actions += _dispatch_part(routing, pending, now)
+    return actions
+
+
+def _refusal_reason_for_all(routing: RoutingState, now: float) -> Reason | None:
     if now >= routing.lease_until:
         return Reason.LEASE_EXPIRED
     if routing.is_closing:
         return Reason.SHUTTING_DOWN
+    return None
+
+
+def _refusal_reason(
+    routing: RoutingState, origin: Origin, part: Part, now: float
+) -> Reason | None:
+    reason = _refusal_reason_for_all(routing, now)
+    if reason is not None:
+        return reason
     if origin.is_session and find_owner(routing, part.service) != routing.name:
         return Reason.NO_OWNER
     if origin.is_session and routing.is_shutting_down:
@@ -174,20 +209,21 @@
     """
     part = pending.part
     owner_name = find_owner(routing, part.service)
-    if owner_name is None or not (
-        owner_name == routing.name or owner_name in routing.linked_members
-    ):
-        routing.held_part_ids.append(part.id)
-        return []
-    if owner_name != routing.name:
+    if owner_name == routing.name:
+        key = (part.service, part.snapshot.version)
+        if key in routing.closing_pool_keys:
+            routing.held_part_ids.append(part.id)
+            return []
         pending.owner = owner_name
-        return [SendToPeer(owner_name, AskPart(part))]
-    key = (part.service, part.snapshot.version)
-    if key in routing.closing_pool_keys:
+        arrival = SendToPool(key, PartArrived(part))
+        if key in routing.pool_keys:
+            return [arrival]
+        return [*ensure_pool(routing, key), arrival]
+    if owner_name is None or owner_name not in routing.linked_members:
         routing.held_part_ids.append(part.id)
         return []
     pending.owner = owner_name
-    return [*ensure_pool(routing, key), SendToPool(key, PartArrived(part))]
+    return [SendToPeer(owner_name, AskPart(part))]
 
 
 def _discard_part(
@@ -212,6 +248,27 @@
     return [SendToPool(key, PartCancelled(part.id, is_caller_gone))]
 
 
+def _handle_results(
+    routing: RoutingState, results: list[PartResult], now: float
+) -> list[RoutingAction]:
+    """Pass results on; those of one request that came together, together."""
+    actions: list[RoutingAction] = []
+    latest = SendAllToOrigin(Origin(""), [])
+    for result in results:
+        pending = routing.pending_by_part.get(result.part_id)
+        if pending is None:
+            continue
+        if not isinstance(result, PartRows):
+            actions += _handle_result(routing, result, now)
+            continue
+        del routing.pending_by_part[result.part_id]
+        if latest.origin is not pending.origin:
+            latest = SendAllToOrigin(pending.origin, [])
+            actions.append(latest)
+        latest.results.append(result)
+    return actions
+
+
 def _handle_result(
     routing: RoutingState, result: PartResult, now: float
 ) -> list[RoutingAction]:
--- a/berylspool/process/entry/routing_message.py
+++ b/berylspool/process/entry/routing_message.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 
 from berylspool.connection.message import AskPart, DropPart, MemberTable
-from berylspool.request.part_message import DiscardPart, Origin, RunPart
+from berylspool.request.part_message import (
+    DiscardPart,
+    Origin,
+    RunPart,
+    RunParts,
+)
 from berylspool.request.query import PartResult
 from berylspool.version.configuration import Configuration
 from berylspool.version.pool.message import Blame, PoolEvent, PoolKey
@@ -22,8 +27,10 @@
     "PoolDrained",
     "ReportTableDrained",
     "ResultReceived",
+    "ResultsReceived",
     "RoutingAction",
     "RoutingEvent",
+    "SendAllToOrigin",
     "SendToAllPeers",
     "SendToOrigin",
     "SendToPeer",
@@ -58,6 +65,13 @@
     result: PartResult
 
 
+@dataclass(slots=True)
+class ResultsReceived:
+    """Pools have returned the results of parts in one turn."""
+
+    results: list[PartResult]
+
+
 @dataclass(frozen=True, slots=True)
 class LinkUp:
     """The link to a peer has opened.
@@ -178,8 +192,10 @@
 
 RoutingEvent = (
     RunPart
+    | RunParts
     | DiscardPart
     | ResultReceived
+    | ResultsReceived
     | LinkUp
     | LinkDown
     | SessionClosed
@@ -237,6 +253,14 @@
     result: PartResult
 
 
+@dataclass(slots=True)
+class SendAllToOrigin:
+    """Deliver results that came together to the request that wants them."""
+
+    origin: Origin
+    results: list[PartResult]
+
+
 @dataclass(frozen=True, slots=True)
 class StartPool:
     """Start a pool."""
@@ -267,6 +291,7 @@
     | SendToPeer
     | SendToAllPeers
     | SendToOrigin
+    | SendAllToOrigin
     | StartPool
     | StopPool
     | ReportTableDrained
--- a/berylspool/process/held_lines.py
+++ b/berylspool/process/held_lines.py
@@ -72,10 +72,11 @@
     """Remove and return the lines of a request.
 
     Examples:
+        >>> from berylspool.common.event import LinesDropped
         >>> state = HeldLines(lambda: 7.0)
-        >>> hold_line(state, "r", Event())
+        >>> hold_line(state, "r", LinesDropped(2))
         >>> take_lines(state, "r"), take_lines(state, "r")
-        ([HeldLine(at=7.0, event=Event())], [])
+        ([HeldLine(at=7.0, event=LinesDropped(count=2))], [])
     """
     lines = state.lines_by_request.pop(request, [])
     state.count -= len(lines)
--- a/berylspool/process/log.py
+++ b/berylspool/process/log.py
@@ -74,6 +74,7 @@
         self._dropped_count = 0
         self._output = output
         self._logs_choices = logs_choices
+        self._holds_choices = logs_choices and holds_part_lines
         self._clock = clock
         self._unreported_drops = 0
         self._counted_second = 0
@@ -88,9 +89,11 @@
     def put(self, event: Event) -> None:
         """Queue an event, hold it, or leave it out."""
         match event:
+            case PartChosen() if self._holds_choices:
+                hold_line(self._held_lines, event.part.partition("/")[0], event)
             case PartChosen() if not self._logs_choices:
                 pass
-            case PartChosen() | HedgeDenied() if self._holds_part_lines:
+            case HedgeDenied() if self._holds_part_lines:
                 hold_line(self._held_lines, event.part.partition("/")[0], event)
             case RequestServed(request=request):
                 leave_out_lines(self._held_lines, request)
@@ -154,6 +157,7 @@
 
 
 def _write_event(event: Event, **extra_fields: Any) -> None:
+    assert dataclasses.is_dataclass(event)
     # `dataclasses.asdict` copies every value, which would double the cost of
     # a line.
     names = [field.name for field in dataclasses.fields(event)]
--- a/berylspool/request/fanout.py
+++ b/berylspool/request/fanout.py
@@ -10,6 +10,7 @@
 """
 
 import heapq
+import itertools
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -207,16 +208,6 @@
     if state.is_finished:
         return []
     match event:
-        case DeadlinePassed():
-            return _cancel_pending(state, Reason.TIMEOUT)
-        case SoftDeadlinePassed():
-            if not _has_min_coverage(state) or not state.answer_by_shard:
-                return []
-            return _cancel_pending(state, Reason.TIMEOUT)
-        case EntryStopping():
-            return _cancel_pending(state, Reason.SHUTTING_DOWN)
-        case CallerDisconnected():
-            return _cancel_pending(state, Reason.CANCELLED, is_caller_gone=True)
         case PartRows() | PartRefused() | PartFailed():
             part = state.pending_by_id.pop(event.part_id, None)
             if part is None:
@@ -224,22 +215,33 @@
             actions = _record_result(state, part, event, now)
             if not state.pending_by_id:
                 return [*actions, _finish(state)]
-            if _is_min_coverage_unreachable(state):
+            if state.missing_by_shard and _is_min_coverage_unreachable(state):
                 return actions + _cancel_pending(state, Reason.CANCELLED)
             soft_deadline = state.query.soft_deadline
             if soft_deadline is not None and now >= soft_deadline:
                 return actions + step(state, SoftDeadlinePassed(), now)
             return actions
+        case DeadlinePassed():
+            return _cancel_pending(state, Reason.TIMEOUT)
+        case SoftDeadlinePassed():
+            if not _has_min_coverage(state) or not state.answer_by_shard:
+                return []
+            return _cancel_pending(state, Reason.TIMEOUT)
+        case EntryStopping():
+            return _cancel_pending(state, Reason.SHUTTING_DOWN)
+        case CallerDisconnected():
+            return _cancel_pending(state, Reason.CANCELLED, is_caller_gone=True)
 
 
 def _send_all_parts(state: FanOut, now: float) -> list[FanOutAction]:
+    timeout_s = max(state.query.deadline - now, 0.0)
     return [
-        _send_part(state, shard, now)
+        _send_part(state, shard, timeout_s)
         for shard in range(len(state.pinned.services))
     ]
 
 
-def _send_part(state: FanOut, shard: int, now: float) -> SendPart:
+def _send_part(state: FanOut, shard: int, timeout_s: float) -> SendPart:
     query, pinned = state.query, state.pinned
     send_number = state.sends_by_shard.get(shard, 0) + 1
     state.sends_by_shard[shard] = send_number
@@ -250,7 +252,7 @@
         shard=shard,
         snapshot=_part_snapshot(pinned, shard),
         body=query.body,
-        timeout_s=max(query.deadline - now, 0.0),
+        timeout_s=timeout_s,
         fingerprint=query.fingerprint,
         idempotent=query.key is None,
         route=query.route,
@@ -271,13 +273,11 @@
     state: FanOut, part: Part, result: PartResult, now: float
 ) -> list[FanOutAction]:
     match result:
-        case PartRows(snapshot=snapshot) if snapshot != part.snapshot:
-            state.attempts += result.attempts
-            state.may_have_run = True
-            return _handle_lost_snapshot(state, part, now)
         case PartRows():
             state.attempts += result.attempts
             state.may_have_run = True
+            if result.snapshot != part.snapshot:
+                return _handle_lost_snapshot(state, part, now)
             state.answer_by_shard[part.shard] = result
             state.last_shard = part.shard
         case PartFailed(reason=Reason.WRONG_SNAPSHOT):
@@ -305,7 +305,7 @@
     if sends >= MAX_SENDS_PER_SHARD or now >= state.query.deadline:
         state.missing_by_shard[part.shard] = reason
         return []
-    return [_send_part(state, part.shard, now)]
+    return [_send_part(state, part.shard, state.query.deadline - now)]
 
 
 def _handle_lost_snapshot(
@@ -392,7 +392,7 @@
 
 
 def _merge_rows(query: Query, answers: list[PartRows]) -> tuple[Any, ...]:
-    rows = (row for answer in answers for row in answer.rows)
+    rows = itertools.chain.from_iterable(answer.rows for answer in answers)
     match query.merge:
         case TopRecords(count=count):
             return tuple(heapq.nlargest(count, rows))
--- a/berylspool/request/part_message.py
+++ b/berylspool/request/part_message.py
@@ -6,7 +6,14 @@
 from berylspool.common.mailbox import Mailbox
 from berylspool.request.query import Part
 
-__all__ = ["DiscardPart", "Origin", "RunPart", "Subscribe", "Unsubscribe"]
+__all__ = [
+    "DiscardPart",
+    "Origin",
+    "RunPart",
+    "RunParts",
+    "Subscribe",
+    "Unsubscribe",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +42,19 @@
     part: Part
 
 
+@dataclass(slots=True)
+class RunParts:
+    """Run the parts of a local request and send their results to it.
+
+    Attributes:
+        origin: The request.
+        parts: Parts to run.
+    """
+
+    origin: Origin
+    parts: list[Part]
+
+
 @dataclass(slots=True)
 class DiscardPart:
     """Discard the result of a part, which is no longer needed.
--- a/berylspool/request/request_task.py
+++ b/berylspool/request/request_task.py
@@ -21,11 +21,11 @@
 from berylspool.request.part_message import (
     DiscardPart,
     Origin,
-    RunPart,
+    RunParts,
     Subscribe,
     Unsubscribe,
 )
-from berylspool.request.query import Outcome, Query
+from berylspool.request.query import Outcome, Part, Query
 
 __all__ = ["RequestTask"]
 
@@ -53,6 +53,7 @@
         self._query = query
         self._router = router
         self._clock = clock
+        self._origin = Origin(query.id)
 
     def notify_disconnect(self) -> None:
         """Notify the task that the caller has closed its connection."""
@@ -104,19 +105,29 @@
 
     def _apply_events(self, state: FanOut, events: list[Any]) -> Outcome | None:
         for event in events:
-            outcome = self._perform_actions(step(state, event, self._clock()))
+            actions = step(state, event, self._clock())
+            outcome = self._perform_actions(actions) if actions else None
             if outcome is not None:
                 return outcome
         return None
 
     def _perform_actions(self, actions: list[FanOutAction]) -> Outcome | None:
-        origin = Origin(self._query.id)
+        parts: list[Part] = []
         for action in actions:
             match action:
                 case SendPart(part=part):
-                    self._router.put(RunPart(origin, part))
+                    parts.append(part)
                 case CancelPart(part=part, is_caller_gone=is_gone):
+                    # A part that was just sent may be cancelled at once.
+                    parts = self._run_parts(parts)
                     self._router.put(DiscardPart(part.id, is_gone))
                 case Finish(outcome=outcome):
                     return outcome
+        self._run_parts(parts)
         return None
+
+    def _run_parts(self, parts: list[Part]) -> list[Part]:
+        """Send parts to the router; return the parts that are still to send."""
+        if parts:
+            self._router.put(RunParts(self._origin, parts))
+        return []
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -112,14 +112,14 @@
     match event:
         case PartArrived(part=part):
             actions = _on_part_arrived(pool, part, now)
+        case AttemptAnswered():
+            actions = on_attempt_answered(pool, event, now)
         case PartCancelled(part_id=part_id, is_caller_gone=is_caller_gone):
             actions = _on_part_cancelled(pool, part_id, is_caller_gone, now)
         case ConnectionOpened():
             actions = on_connection_opened(pool, event, now)
         case ConnectionClosed():
             actions = on_connection_closed(pool, event, now)
-        case AttemptAnswered():
-            actions = on_attempt_answered(pool, event, now)
         case HealthReported():
             actions = _on_health_reported(pool, event, now)
         case FingerprintBlamed(fingerprint=fingerprint, verdict=verdict):
@@ -140,11 +140,15 @@
         case Tick():
             remove_expired(pool.verdicts, now)
             actions = drop_unused_upstreams(pool)
-    actions += _run_timers(pool, now)
-    actions += _dispatch(pool, now)
-    actions += refuse_unservable(pool, now)
+    if pool.timers and pool.timers[0][0] <= now:
+        actions += _run_timers(pool, now)
+    if pool.queue:
+        actions += _dispatch(pool, now)
+        actions += refuse_unservable(pool, now)
     if pool.tuning.opens_on_demand:
-        actions += open_connections_on_demand(pool, now)
+        # An answer leaves the connections as they are.
+        if pool.queue or not isinstance(event, AttemptAnswered):
+            actions += open_connections_on_demand(pool, now)
     elif isinstance(event, CONNECTION_EVENTS):
         actions += open_connections_per_slot(pool, now)
     return actions
@@ -160,8 +164,12 @@
     job = Job(part, now + part.timeout_s, now)
     pool.job_by_part[part.id] = job
     deposit(pool.budget)
-    enqueue_job(pool, job, behind_first_copies=False)
     set_timer(pool, job.deadline, part.id, TimerKind.DEADLINE)
+    if not pool.queue and now < pool.lease_until:
+        sent = _send_copy(pool, job, is_hedge=False, now=now)
+        if sent is not None:
+            return sent
+    enqueue_job(pool, job, behind_first_copies=False)
     return []
 
 
@@ -203,12 +211,12 @@
         job = pool.job_by_part.get(item[3])
         if job is None:
             continue
-        view = _select_upstream(pool, job, now)
-        if view is None:
+        sent = _send_copy(pool, job, is_hedge=bool(item[0]), now=now)
+        if sent is None:
             skipped.append(item)
             continue
         job.queue_items -= 1
-        actions += _send_part(pool, job, view, bool(item[0]), now)
+        actions += sent
     for item in skipped:
         heapq.heappush(pool.queue, item)
     return actions
@@ -222,18 +230,23 @@
     )
 
 
-def _select_upstream(pool: Pool, job: Job, now: float) -> UpstreamView | None:
+def _select_upstream(
+    pool: Pool, job: Job, not_before: float, now: float
+) -> UpstreamView | None:
     """Return the upstream for a waiting part, or None if it must wait."""
-    if is_suspect(pool.verdicts, job.part.fingerprint):
+    verdicts = pool.verdicts
+    if verdicts.verdict_by_fingerprint and is_suspect(
+        verdicts, job.part.fingerprint
+    ):
         return _reserve_upstream(pool, job, now)
     return choose_upstream(
         pool.view_by_upstream.values(),
         pool.tuning.policy,
         job.part.id,
-        frozenset(job.tried_upstreams),
+        job.tried_upstreams,
         job.warm_only,
         now,
-        earliest_idle_since(pool, job, now),
+        not_before,
     )
 
 
@@ -283,10 +296,15 @@
     )
 
 
-def _send_part(
-    pool: Pool, job: Job, view: UpstreamView, is_hedge: bool, now: float
-) -> list[PoolAction]:
-    connection = find_idle_connection(view, earliest_idle_since(pool, job, now))
+def _send_copy(
+    pool: Pool, job: Job, is_hedge: bool, now: float
+) -> list[PoolAction] | None:
+    """Send a copy of a part, or return None if it must wait."""
+    not_before = earliest_idle_since(pool, job, now)
+    view = _select_upstream(pool, job, not_before, now)
+    if view is None:
+        return None
+    connection = find_idle_connection(view, not_before)
     assert connection is not None
     attempt = Attempt(
         pool.next_serial(),
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -121,22 +121,25 @@
         job.part, event.reply, latency_s, is_warm_now, attempt.upstream_id
     )
     match event.reply:
-        case RowsReply(snapshot=snapshot, rows=rows, stamp=stamp):
+        case RowsReply() as rows_reply:
             pool.mean_latency_s += MEAN_LATENCY_EWMA_WEIGHT * (
                 latency_s - pool.mean_latency_s
             )
             _record_duration(pool, job, latency_s)
-            outrun_replies = [
-                _record_outrun_attempt(pool, job, other, now)
-                for other in job.attempt_by_id.values()
-            ]
-            clear_suspect(pool.verdicts, job.part.fingerprint)
-            result = PartRows(job.part.id, snapshot, rows, job.sends, stamp)
-            return [
-                observed_reply,
-                *outrun_replies,
-                *finish_job(pool, job, result),
-            ]
+            if pool.verdicts.verdict_by_fingerprint:
+                clear_suspect(pool.verdicts, job.part.fingerprint)
+            result = PartRows(
+                job.part.id,
+                rows_reply.snapshot,
+                rows_reply.rows,
+                job.sends,
+                rows_reply.stamp,
+            )
+            actions: list[PoolAction] = [observed_reply]
+            for other in job.attempt_by_id.values():
+                actions.append(_record_outrun_attempt(pool, job, other, now))
+            actions += finish_job(pool, job, result)
+            return actions
         case NotRunReply(reason=reason):
             job.refusals += 1
             if reason is not Reason.NO_UPSTREAM:
--- a/berylspool/version/pool/availability.py
+++ b/berylspool/version/pool/availability.py
@@ -94,16 +94,17 @@
     """Return why a new part must be refused, or None to admit it."""
     if pool.is_closing:
         return Reason.SHUTTING_DOWN
-    if is_convicted(pool.verdicts, part.fingerprint):
+    verdicts = pool.verdicts
+    if verdicts.verdict_by_fingerprint and is_convicted(
+        verdicts, part.fingerprint
+    ):
         return Reason.QUARANTINED
-    views = _views_for_new_work(pool)
-    if not views:
+    if not _has_upstream_for_new_work(pool):
         return Reason.NO_UPSTREAM
     reason = closed_reason(pool, now)
-    if reason is not None:
+    if reason is not None or not pool.queue:
         return reason
-    if not pool.queue:
-        return None
+    views = _views_for_new_work(pool)
     slots = sum(allowed_slots(v.slow_start, v.limits, now) for v in views)
     expected_s = len(pool.queue) * pool.mean_latency_s / max(slots, 1)
     if (
@@ -180,6 +181,13 @@
     heapq.heapify(pool.queue)
 
 
+def _has_upstream_for_new_work(pool: Pool) -> bool:
+    for view in pool.view_by_upstream.values():
+        if view.is_serving and not view.is_draining:
+            return True
+    return False
+
+
 def _views_for_new_work(pool: Pool) -> list[UpstreamView]:
     return [
         view
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -17,6 +17,7 @@
 from berylspool.version.configuration import Upstream
 from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
+    AttemptAnswered,
     Blame,
     BorrowCopies,
     CancelAttempt,
@@ -24,6 +25,7 @@
     Log,
     ObservedReply,
     OpenConnection,
+    PartArrived,
     PoolAction,
     PoolEvent,
     PoolKey,
@@ -35,7 +37,7 @@
     Tick,
 )
 from berylspool.version.pool.state import Pool, PoolTuning
-from berylspool.version.pool.timing import max_wait_s
+from berylspool.version.pool.timing import drop_ended_timers, max_wait_s
 from berylspool.version.pool.transport import ConnectionTask, Transport
 from berylspool.version.upstream.notices import NoticeMemory, forget_unlisted
 from berylspool.version.upstream.slow_upstreams import (
@@ -100,6 +102,8 @@
         watch_by_upstream: Health watch of each upstream, if it has any.
         wake_at: Time at which the pool must act without an event, monotonic
             seconds.
+        latest_wake_at: The same without the timers that were set since; it is
+            never before `wake_at`.
         is_drained: Whether the pool has been reported as drained.
     """
 
@@ -111,6 +115,7 @@
         default_factory=dict
     )
     wake_at: float = float("inf")
+    latest_wake_at: float = float("inf")
     is_drained: bool = False
 
 
@@ -174,22 +179,35 @@
         """Apply an event of a connection, unless its pool is gone."""
         running = self._running_by_key.get(message.key)
         if running and running.incarnation == message.incarnation:
-            self.handle(message.key, message.event)
+            self._apply(running, message.key, message.event)
 
     def handle(self, key: PoolKey, event: PoolEvent) -> None:
         """Apply an event to a pool, if it exists, and perform its actions."""
         running = self._running_by_key.get(key)
-        if running is None:
-            return
-        for action in step(running.pool, event, self._clock()):
+        if running is not None:
+            self._apply(running, key, event)
+
+    def _apply(
+        self, running: _RunningPool, key: PoolKey, event: PoolEvent
+    ) -> None:
+        pool = running.pool
+        for action in step(pool, event, self._clock()):
             self._perform(running, key, action)
-        if running.pool.observed:
-            for observed in running.pool.observed:
+        if pool.observed:
+            for observed in pool.observed:
                 self._listener.on_upstream(observed)
-            running.pool.observed.clear()
-        if isinstance(event, PoolReconfigured | Tick):
-            self._sync_health_watches(running)
-        self._changed_keys.add(key)
+            pool.observed.clear()
+        match event:
+            case PartArrived() if not pool.queue:
+                self._update_wake_time(running, key)
+            case AttemptAnswered() if not pool.queue:
+                drop_ended_timers(pool)
+                self._update_wake_time(running, key)
+            case PoolReconfigured() | Tick():
+                self._sync_health_watches(running)
+                self._changed_keys.add(key)
+            case _:
+                self._changed_keys.add(key)
 
     def judge(self, judged: SlownessJudged) -> None:
         """Tell the pools of an upstream how all entries judge it."""
@@ -197,27 +215,32 @@
             if judged.id in running.pool.view_by_upstream:
                 self.handle(key, judged)
 
-    def run_due_pools(self) -> float | None:
-        """Let the pools act whose time has come, and report drained ones.
+    def next_wake_at(self) -> float:
+        """Return when a pool must act without an event, in monotonic seconds.
 
-        Returns:
-            Seconds until a pool must act without an event; None without pools.
+        Drained pools are reported on the way.
         """
         self._update_wake_times()
-        now = self._clock()
         while self._wake_times:
             wake_at, key = self._wake_times[0]
             running = self._running_by_key.get(key)
-            if running is None or running.wake_at != wake_at:
-                heapq.heappop(self._wake_times)
-                continue
-            if wake_at > now:
-                return wake_at - now
+            if running is not None and running.wake_at == wake_at:
+                return wake_at
             heapq.heappop(self._wake_times)
-            running.wake_at = float("inf")
+        return float("inf")
+
+    def run_due_pools(self) -> float | None:
+        """Let the pools act whose time has come.
+
+        Returns:
+            Seconds until a pool must act without an event; None without pools.
+        """
+        now = self._clock()
+        while (wake_at := self.next_wake_at()) <= now:
+            _, key = heapq.heappop(self._wake_times)
+            self._running_by_key[key].wake_at = float("inf")
             self.handle(key, Tick())
-            self._update_wake_times()
-        return None
+        return wake_at - now if self._wake_times else None
 
     def stop(self) -> None:
         """Close the connections of all pools."""
@@ -234,11 +257,28 @@
                 running.is_drained = True
                 self._listener.on_drained(key)
             wake_at = now + max_wait_s(running.pool, now)
+            running.latest_wake_at = wake_at
             if wake_at != running.wake_at:
                 running.wake_at = wake_at
                 heapq.heappush(self._wake_times, (wake_at, key))
         self._changed_keys.clear()
 
+    def _update_wake_time(self, running: _RunningPool, key: PoolKey) -> None:
+        """Update the wake time after an event that changed only the timers.
+
+        A wide request has such events in all pools.
+        """
+        timers = running.pool.timers
+        wake_at = running.latest_wake_at
+        if timers and timers[0][0] < wake_at:
+            wake_at = timers[0][0]
+            if wake_at != running.wake_at:
+                heapq.heappush(self._wake_times, (wake_at, key))
+        # The heap holds `latest_wake_at` until the pool has acted.
+        running.wake_at = wake_at
+        if running.pool.is_closing:
+            self._changed_keys.add(key)
+
     def _perform(
         self, running: _RunningPool, key: PoolKey, action: PoolAction
     ) -> None:
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -50,6 +50,7 @@
 # Well below idle time-outs of upstreams, which are whole seconds. A new
 # connection costs only a round trip or two.
 MAX_IDLE_NON_IDEMPOTENT_S = 0.1
+NO_LIMIT = float("-inf")
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,10 +269,13 @@
     Returns:
         Monotonic seconds; minus infinity if any idle time is allowed.
     """
+    needs_recent_use = pool.tuning.opens_on_demand and not job.part.idempotent
+    if now >= pool.idle_timeout_valid_until and not needs_recent_use:
+        return NO_LIMIT
     max_idle_s = float("inf")
     if now < pool.idle_timeout_valid_until:
         max_idle_s = pool.upstream_idle_timeout_s
-    if pool.tuning.opens_on_demand and not job.part.idempotent:
+    if needs_recent_use:
         max_idle_s = min(max_idle_s, MAX_IDLE_NON_IDEMPOTENT_S)
     return now - max_idle_s
 
@@ -285,12 +289,9 @@
         behind_first_copies: Whether the copy queues behind all first copies.
     """
     job.queue_items += 1
-    item = (
-        int(behind_first_copies),
-        job.deadline,
-        pool.next_serial(),
-        job.part.id,
-    )
+    pool.last_serial += 1
+    rank = int(behind_first_copies)
+    item = (rank, job.deadline, pool.last_serial, job.part.id)
     heapq.heappush(pool.queue, item)
 
 
@@ -305,8 +306,8 @@
         target_id: Id of the part; id of the attempt for `SILENCE_TIMEOUT`.
         kind: Purpose of the timer.
     """
-    item = (due_at, pool.next_serial(), target_id, kind)
-    heapq.heappush(pool.timers, item)
+    pool.last_serial += 1
+    heapq.heappush(pool.timers, (due_at, pool.last_serial, target_id, kind))
 
 
 def end_attempt(pool: Pool, attempt_id: int | None) -> Attempt | None:
--- a/berylspool/version/pool/timing.py
+++ b/berylspool/version/pool/timing.py
@@ -14,7 +14,7 @@
     opening_is_silent_at,
 )
 
-__all__ = ["max_wait_s"]
+__all__ = ["drop_ended_timers", "max_wait_s"]
 
 # Slow starts and removed upstreams change with time, without a message.
 MAX_BUSY_WAIT_S = 0.25
@@ -25,7 +25,7 @@
 
 def max_wait_s(pool: Pool, now: float) -> float:
     """Return how long the pool's task may wait for events, in seconds."""
-    _drop_timers_of_ended_parts(pool)
+    drop_ended_timers(pool)
     is_idle = not pool.queue and not pool.verdicts.recorded_at_by_fingerprint
     wake_at = pool.timers[0][0] if pool.timers else float("inf")
     for view in pool.view_by_upstream.values():
@@ -47,12 +47,14 @@
     return min((time for time in times if time > now), default=float("inf"))
 
 
-def _drop_timers_of_ended_parts(pool: Pool) -> None:
+def drop_ended_timers(pool: Pool) -> None:
     """Drop timers of parts that have ended from the front of the heap.
 
     Most parts end before their hedge and their deadline, and a wake-up for
     each of these timers would cost as much as the part.
     """
+    if not pool.job_by_part and not pool.attempt_by_id:
+        pool.timers.clear()
     while pool.timers:
         _, _, target_id, kind = pool.timers[0]
         if kind is TimerKind.SILENCE_TIMEOUT or target_id in pool.job_by_part:
--- a/berylspool/version/upstream/balancing.py
+++ b/berylspool/version/upstream/balancing.py
@@ -6,7 +6,7 @@
 are shared, uses reports.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 from berylspool.request.fingerprint import hash64
@@ -75,7 +75,7 @@
 
 
 def _has_untried(
-    views: Iterable[UpstreamView], tried: frozenset[str], now: float
+    views: Iterable[UpstreamView], tried: Collection[str], now: float
 ) -> bool:
     return any(
         view.is_serving
@@ -90,7 +90,7 @@
     views: Iterable[UpstreamView],
     policy: BalancingPolicy,
     part_id: str,
-    tried: frozenset[str],
+    tried: Collection[str],
     warm_only: bool,
     now: float,
     not_before: float = float("-inf"),
@@ -115,18 +115,20 @@
     candidates = [
         view
         for view in views
-        if free_slots(view, now) > 0
-        and (not warm_only or is_warm(view.slow_start, view.limits, now))
+        if view.connection_by_id
         and find_idle_connection(view, not_before) is not None
+        and free_slots(view, now) > 0
+        and (not warm_only or is_warm(view.slow_start, view.limits, now))
     ]
     if tried:
         untried = [v for v in candidates if v.upstream.id not in tried]
         if not untried and _has_untried(views, tried, now):
             return None
         candidates = untried or candidates
-    candidates = [
-        v for v in candidates if not v.is_outside_subset
-    ] or candidates
+    if len(candidates) > 1:
+        candidates = [
+            v for v in candidates if not v.is_outside_subset
+        ] or candidates
     if len(candidates) <= 1:
         return candidates[0] if candidates else None
     cost_of = cost_function(policy, now)
--- a/berylspool/version/upstream/slow_start.py
+++ b/berylspool/version/upstream/slow_start.py
@@ -75,6 +75,8 @@
     """
     if now < slow_start.backoff_until:
         return 0
+    if limits.cold_slots == limits.slots:
+        return limits.slots
     if slow_start.first_answer_at is None or slow_start.is_unconfirmed:
         return limits.cold_slots
     elapsed_share = (now - slow_start.first_answer_at) / max(
