An entry that lags reads what has arrived before its timers act

Cause: the router ran its due timers before it read its sockets again. While an entry was at work, its hedge delays passed for parts whose answers waited unread, and connections that had opened counted as silent after 20 ms. Copies, loans and new connections followed, and the processor time for them made the next timers late: the class fell off a cliff within a factor of two. Change: if the first timer is 2 ms late or more, the router first lets the event loop read, and handles what came.

--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -79,6 +79,10 @@
 __all__ = ["Router"]
 
 HELD_PARTS_RETRY_INTERVAL_S = 0.02
+# Timers of an idle event loop are late by about one millisecond.
+MIN_LAG_S = 0.002
+# Turns of the event loop from a handshake to the message that tells of it.
+READING_TURNS = 4
 
 
 RouterMessage = (
@@ -165,6 +169,8 @@
         """Serve the inbox until the task is cancelled."""
         try:
             while True:
+                if self._clock() - self._pools.next_wake_at() >= MIN_LAG_S:
+                    await self._handle_unread()
                 wait_s = self._pools.run_due_pools()
                 self._return_results()
                 has_held_parts = bool(self.routing.held_part_ids)
@@ -185,6 +191,18 @@
             for task in self._link_task_by_member.values():
                 task.cancel()
 
+    async def _handle_unread(self) -> None:
+        """Handle what has arrived while this process was at work.
+
+        Timers that are late for that reason would act on what was not read yet:
+        they would hedge answers and replace connections that are open.
+        """
+        for _ in range(READING_TURNS):
+            await asyncio.sleep(0)
+            for message in self.inbox.take_pending():
+                self._handle(message)
+        self._return_results()
+
     def receive_loans(self, lent: tuple[ExtraCopies, ...]) -> None:
         """Queue the copies that control has lent to pools of this process."""
         for loan in lent:
