Timers of pools always wait until what has arrived is read; results go back in turns

Cause: a timer that is due on time says nothing of how long the turn of the event loop before it took, so 24 of 114 connections of an entry's first request still replaced ones that had opened. And a request whose least coverage was reached waited until the router had handled all answers that came together. Change: due timers let the event loop read first, late or not; the router returns results after each 16 messages. Heads of requests are encoded as bytes.

--- a/berylspool/platform/upstream/codec.py
+++ b/berylspool/platform/upstream/codec.py
@@ -44,6 +44,8 @@
 CONTENT_ENCODING_KEY = to_key("Content-Encoding")
 # Small numbers repeat; each answer states three.
 MAX_CACHED_LOADS = 4096
+# More than one entry is connected to.
+MAX_CACHED_INSTANCES = 4096
 
 
 class RequestEncoder:
@@ -55,7 +57,7 @@
     def __init__(self) -> None:
         self._request_id = ""
         self._forward: Forward | None = None
-        self._head = ""
+        self._head = b""
         self._rest = b""
 
     def get_id(self, part: Part) -> str:
@@ -79,11 +81,12 @@
         if part.forward is not self._forward:
             self._encode_shared(part)
         timeout_ms = max(1, int(timeout_s * MS_PER_S))
-        head = (
-            f"{self._head}{timeout_ms}\r\n"
-            f"{headers.EXPECT_INSTANCE}: {upstream.id}\r\n"
+        return b"%b%d\r\n%b%b" % (
+            self._head,
+            timeout_ms,
+            _encode_instance(upstream.id),
+            self._rest,
         )
-        return head.encode("latin-1") + self._rest
 
     def _encode_shared(self, part: Part) -> None:
         forward = part.forward
@@ -94,7 +97,7 @@
             (v for n, v in forward.headers if n.lower() == REQUEST_ID_NAME), ""
         )
         lines.append(f"{headers.REQUEST_DEADLINE}: ")
-        self._head = "\r\n".join(lines)
+        self._head = "\r\n".join(lines).encode("latin-1")
         length = ""
         if forward.body or forward.method not in ("GET", "HEAD"):
             length = f"Content-Length: {len(forward.body)}\r\n"
@@ -102,6 +105,11 @@
         self._forward = forward
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_INSTANCES)
+def _encode_instance(id: str) -> bytes:
+    return f"{headers.EXPECT_INSTANCE}: {id}\r\n".encode("latin-1")
+
+
 def decode_response(part: Part, response: Response) -> UpstreamReply:
     """Decode a whole response to a copy of a part.
 
--- a/berylspool/platform/upstream/response.py
+++ b/berylspool/platform/upstream/response.py
@@ -6,6 +6,7 @@
 another.  The reader returns a response only if no such bytes can be part of it.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import httptools
@@ -83,7 +84,7 @@
     status: int = 0
     echoed_id: str = ""
     reason_phrase: bytes = b""
-    raw_headers: list[tuple[bytes, bytes]] = field(default_factory=list)
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
     value_by_name: dict[bytes, bytes] = field(default_factory=dict)
     body: bytearray = field(default_factory=bytearray)
     is_kept: bool = True
@@ -362,13 +363,12 @@
         of a header continues with whatever comes next.
         """
         response = self._response
-        if has_status_line(response.reason_phrase):
-            raise ProtocolError("status line inside a status line")
-        values = b"\n".join(response.value_by_name.values())
-        if len(response.value_by_name) < len(response.raw_headers):
-            values = b"\n".join([value for _, value in response.raw_headers])
-        if b"/" in values and has_status_line(values):
-            raise ProtocolError("status line inside a header")
+        values = list(response.value_by_name.values())
+        if len(values) < len(response.raw_headers):
+            values = [value for _, value in response.raw_headers]
+        text = b"\n".join([response.reason_phrase, *values])
+        if b"HTTP/" in text and has_status_line(text):
+            raise ProtocolError("status line inside another head")
 
     def on_body(self, chunk: bytes) -> None:
         """Store a part of the body, unless it is that of a late copy."""
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -79,10 +79,9 @@
 __all__ = ["Router"]
 
 HELD_PARTS_RETRY_INTERVAL_S = 0.02
-# Timers of an idle event loop are late by about one millisecond.
-MIN_LAG_S = 0.002
 # Turns of the event loop from a handshake to the message that tells of it.
 READING_TURNS = 4
+MESSAGES_PER_TURN = 16
 
 
 RouterMessage = (
@@ -169,7 +168,7 @@
         """Serve the inbox until the task is cancelled."""
         try:
             while True:
-                if self._clock() - self._pools.next_wake_at() >= MIN_LAG_S:
+                if self._pools.next_wake_at() <= self._clock():
                     await self._handle_unread()
                 wait_s = self._pools.run_due_pools()
                 self._return_results()
@@ -181,16 +180,26 @@
                         else min(wait_s, HELD_PARTS_RETRY_INTERVAL_S)
                     )
                 messages = await self.inbox.take(wait_s)
-                for message in messages:
-                    self._handle(message)
+                await self._handle_in_turns(messages)
                 if has_held_parts and not messages:
                     self._handle(HeldPartsRetryDue())
-                self._return_results()
         finally:
             self._pools.stop()
             for task in self._link_task_by_member.values():
                 task.cancel()
 
+    async def _handle_in_turns(self, messages: list[RouterMessage]) -> None:
+        """Handle messages; return results each time a few are handled.
+
+        A request that has enough of them answers its caller before the rest.
+        """
+        for start in range(0, len(messages), MESSAGES_PER_TURN):
+            if start:
+                await asyncio.sleep(0)
+            for message in messages[start : start + MESSAGES_PER_TURN]:
+                self._handle(message)
+            self._return_results()
+
     async def _handle_unread(self) -> None:
         """Handle what has arrived while this process was at work.
 
@@ -199,9 +208,7 @@
         """
         for _ in range(READING_TURNS):
             await asyncio.sleep(0)
-            for message in self.inbox.take_pending():
-                self._handle(message)
-        self._return_results()
+            await self._handle_in_turns(self.inbox.take_pending())
 
     def receive_loans(self, lent: tuple[ExtraCopies, ...]) -> None:
         """Queue the copies that control has lent to pools of this process."""
