Tests of wide requests share their entry

Cause: the entry of the new tests stood again in test_wide_request. Change: wide_entry starts it and asks it; the assertions are as they were.

--- a/berylspool/platform/tests/instant_upstreams.py
+++ b/berylspool/platform/tests/instant_upstreams.py
@@ -7,21 +7,12 @@
 import asyncio
 from dataclasses import dataclass
 
-from berylspool.platform.document import decode_plan
 from berylspool.platform.tests.test_forwarding import (
-    HOST,
     header_value,
-    make_document,
     make_records,
-    make_route,
 )
-from berylspool.platform.upstream.connection import PlatformTransport
-from berylspool.process.entry.forwarder import Forwarder
-from berylspool.process.entry.routing_message import LeaseGranted
-from berylspool.process.log import LogTask
-from berylspool.process.settings import EntrySettings, Settings
-from berylspool.request.forward_request import ForwardRequest
-from berylspool.version.configuration import Configuration, Upstream
+from berylspool.platform.tests.wide_entry import ask_wide, start_wide_entry
+from berylspool.version.configuration import Upstream
 from berylspool.version.listing import ListedUpstream, Listing
 
 UPSTREAMS_PER_SERVICE = 3
@@ -116,54 +107,23 @@
 async def start_entry(loop, service_count, entries):
     """Return an entry among several, with one wide route, and its router."""
     services = [f"s{number}" for number in range(service_count)]
-    entry = EntrySettings(
-        address="127.0.0.1:1", peer_address="127.0.0.1:2", zone="z0"
+    return await start_wide_entry(
+        loop.clock,
+        make_listing(services),
+        services,
+        entries,
+        {
+            "top-k": 10,
+            "min-shard-ratio": 1.0,
+            "timeout-ms": DEADLINE_S * 1000,
+            "target-latency-ms": TARGET_MS,
+        },
     )
-    forwarder = Forwarder(
-        "e1",
-        Settings(entries={"e1": entry}),
-        decode=decode_plan,
-        transport=PlatformTransport(loop.clock),
-        control_port=None,
-        clock=loop.clock,
-        log=LogTask(holds_part_lines=True),
-    )
-    router = asyncio.ensure_future(forwarder.router.run())
-    forwarder.router.inbox.put(LeaseGranted(float("inf")))
-    limits = {
-        "top-k": 10,
-        "min-shard-ratio": 1.0,
-        "timeout-ms": DEADLINE_S * 1000,
-        "target-latency-ms": TARGET_MS,
-    }
-    route = make_route(
-        "wide",
-        "/w/",
-        **{"fanout-services": services, **limits},
-    )
-    forwarder.state.set_configuration(
-        Configuration(1, document=make_document([route], services))
-    )
-    forwarder.state.set_entry_count(entries)
-    forwarder.state.set_listing(make_listing(services))
-    await forwarder.state.initialized.wait()
-    return forwarder, router
 
 
 async def ask(forwarder, id):
-    """Return the answer to a wide request."""
-    request = ForwardRequest(
-        id=id,
-        method="GET",
-        host=HOST,
-        path="/w/1",
-        target="/w/1",
-        headers=(("Host", HOST), ("X-Request-Id", id)),
-        body=b"",
-        deadline_s=DEADLINE_S,
-    )
-    answer = await forwarder.answer(request, asyncio.Event())
-    # Lets the router and the connections finish what the answer left.
+    """Return the answer to a wide request, once nothing of it is left."""
+    answer = await ask_wide(forwarder, id, DEADLINE_S)
     for _ in range(8):
         await asyncio.sleep(0)
     return answer
--- a/berylspool/platform/tests/test_wide_request.py
+++ b/berylspool/platform/tests/test_wide_request.py
@@ -3,25 +3,18 @@
 import asyncio
 import time
 
-from berylspool.platform.document import decode_plan
 from berylspool.platform.tests.test_forwarding import (
-    HOST,
     header_value,
-    make_document,
     make_records,
-    make_route,
     signed_response,
 )
-from berylspool.platform.upstream.connection import PlatformTransport
-from berylspool.process.entry.forwarder import Forwarder
-from berylspool.process.entry.routing_message import LeaseGranted
-from berylspool.process.settings import EntrySettings, Settings
-from berylspool.request.forward_request import ForwardRequest
-from berylspool.version.configuration import Configuration, Upstream
+from berylspool.platform.tests.wide_entry import ask_wide, start_wide_entry
+from berylspool.version.configuration import Upstream
 from berylspool.version.listing import ListedUpstream, Listing
 
 SERVICES = [f"s{number}" for number in range(60)]
 TEST_TIMEOUT_S = 20.0
+DEADLINE_S = 5.0
 
 
 class CountingLoop(asyncio.SelectorEventLoop):
@@ -75,46 +68,16 @@
     return servers, Listing(1, 1, listed_by_id)
 
 
-def make_request(id):
-    return ForwardRequest(
-        id=id,
-        method="GET",
-        host=HOST,
-        path="/w/1",
-        target="/w/1",
-        headers=(("Host", HOST), ("X-Request-Id", id)),
-        body=b"",
-        deadline_s=5.0,
-    )
-
-
 async def count_wake_ups(loop):
     servers, listing = await listen_upstreams(loop, HoldingUpstreams())
-    entry = EntrySettings(
-        address="127.0.0.1:1", peer_address="127.0.0.1:2", zone="z"
-    )
-    forwarder = Forwarder(
-        "e1",
-        Settings(entries={"e1": entry}),
-        decode=decode_plan,
-        transport=PlatformTransport(time.monotonic),
-        control_port=None,
-        clock=time.monotonic,
-    )
-    router = asyncio.ensure_future(forwarder.router.run())
-    forwarder.router.inbox.put(LeaseGranted(float("inf")))
-    route = make_route("wide", "/w/", **{"fanout-services": SERVICES})
-    forwarder.state.set_configuration(
-        Configuration(1, document=make_document([route], SERVICES))
+    forwarder, router = await start_wide_entry(
+        time.monotonic, listing, SERVICES, 1, {}
     )
-    forwarder.state.set_entry_count(1)
-    forwarder.state.set_listing(listing)
-    await forwarder.state.initialized.wait()
     async with asyncio.timeout(TEST_TIMEOUT_S):
-        first = await forwarder.answer(make_request("r1"), asyncio.Event())
+        first = await ask_wide(forwarder, "r1", DEADLINE_S)
         await asyncio.sleep(0.1)
         count_before = loop.count
-        second = await forwarder.answer(make_request("r2"), asyncio.Event())
+        second = await ask_wide(forwarder, "r2", DEADLINE_S)
         count = loop.count - count_before
     router.cancel()
     for server in servers:
