The test of bytes without end reaches the endless upstream on any machine

The test left it to luck whether the endless upstream gets one of its 40 requests: the first goes by a hash of ports, and an upstream whose answers get faster is preferred. Change: the sound upstream answers slowly from its 21st request until the other has had one. The assertions are as they were.

--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -754,7 +754,14 @@
                     await writer.drain()
 
     endless = EndlessUpstream("a", None)
-    sound = FakeUpstream("a", lambda head, body: signed_response(head, b"x"))
+
+    async def respond(head, body):
+        # Without this, the upstream that answers may be preferred throughout.
+        if len(sound.requests) > 20 and not endless.requests:
+            await asyncio.sleep(0.3)
+        return signed_response(head, b"x")
+
+    sound = FakeUpstream("a", respond)
     logged = []
 
     async def scenario(forwarder, port):
