--- a/berylspool/platform/tests/test_part_cost.py
+++ b/berylspool/platform/tests/test_part_cost.py
@@ -14,8 +14,7 @@
 PACKAGE = str(Path(berylspool.__file__).parent)
 ENTRIES = 62
 WARM_UP_REQUESTS = 8
-# Two thirds of the steps with which the tightest class missed its floor on half
-# of its processor, and met it on three quarters.
+# Two thirds of the steps with which the tightest class missed its floor.
 MAX_STEPS = 3_660
 
 
