Request handling of a forwarding entry is a module of its own

Change: the modules of the forwarding entry move to process/entry/forwarding/; the path of a request moves from Forwarder to RequestHandler. No behaviour changes; three tests reach the moved attributes through the handler. Result: the tests of platform/, process/entry/ and the architecture pass.

--- a/bench/forward.py
+++ b/bench/forward.py
@@ -20,7 +20,7 @@
 import uvloop
 
 from berylspool.platform.upstream.connection import PlatformTransport
-from berylspool.process.entry.forwarder import Forwarder
+from berylspool.process.entry.forwarding.forwarder import Forwarder
 from berylspool.process.entry.routing_message import LeaseGranted
 from berylspool.process.lifetime import start_garbage_collection
 from berylspool.process.settings import EntrySettings, Settings
@@ -198,7 +198,7 @@
         body=b"",
         deadline_s=DEADLINE_S,
     )
-    await forwarder.answer(request, asyncio.Event())
+    await forwarder.handler.answer(request, asyncio.Event())
 
 
 def main():
--- a/berylspool/platform/roles.py
+++ b/berylspool/platform/roles.py
@@ -55,7 +55,7 @@
     from berylspool.platform.document import decode_plan
     from berylspool.platform.ingress import Ingress, ReadinessServer
     from berylspool.platform.upstream.connection import PlatformTransport
-    from berylspool.process.entry.forwarder import Forwarder
+    from berylspool.process.entry.forwarding.forwarder import Forwarder
 
     path = settings_path()
     platform_settings = read_settings(path)
@@ -70,7 +70,7 @@
         log=log,
     )
     role.caller_listener = Ingress(
-        role.answer, lambda: role.is_closing, log.put, caller_socket
+        role.handler.answer, lambda: role.is_closing, log.put, caller_socket
     )
     readiness_server = ReadinessServer(lambda: role.is_ready)
     readiness_server.listen(platform_settings.listen["readiness-address"])
--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -14,7 +14,7 @@
 from berylspool.platform.document import decode_plan, read_document
 from berylspool.platform.ingress import Ingress
 from berylspool.platform.upstream.connection import PlatformTransport
-from berylspool.process.entry.forwarder import Forwarder
+from berylspool.process.entry.forwarding.forwarder import Forwarder
 from berylspool.process.entry.routing_message import LeaseGranted
 from berylspool.process.settings import EntrySettings, Settings
 from berylspool.tests.cluster import free_ports
@@ -131,7 +131,9 @@
             clock=time.monotonic,
         )
         ingress = Ingress(
-            forwarder.answer, lambda: forwarder.is_closing, forwarder.log.put
+            forwarder.handler.answer,
+            lambda: forwarder.is_closing,
+            forwarder.log.put,
         )
         forwarder.caller_listener = ingress
         router = asyncio.ensure_future(forwarder.router.run())
@@ -381,7 +383,7 @@
     upstream = FakeUpstream("a", lambda head, body: signed_response(head, b""))
 
     async def scenario(forwarder, port):
-        forwarder.running.ends_at = float("-inf")
+        forwarder.handler.running.ends_at = float("-inf")
         return await send_request(port, "/s/1")
 
     status, _, _ = run_scenario(
@@ -420,7 +422,7 @@
         ingress = forwarder.caller_listener
         await forwarder._stop(ingress)
         await asyncio.gather(*callers)
-        return len(forwarder.running)
+        return len(forwarder.handler.running)
 
     single_route = make_route("single", "/s/", service="a")
     assert run_scenario([upstream], [single_route], scenario) == 0
@@ -604,13 +606,13 @@
     logged = []
 
     async def scenario(forwarder, port):
-        run_request = forwarder._run_request
+        run_request = forwarder.handler._run_request
 
         async def fail_once(*arguments):
-            forwarder._run_request = run_request
+            forwarder.handler._run_request = run_request
             raise KeyError("defect")
 
-        forwarder._run_request = fail_once
+        forwarder.handler._run_request = fail_once
         forwarder.log.put = logged.append
         forwarder.caller_listener._log = logged.append
         extra = ("X-Request-Id: r1",)
--- a/berylspool/platform/tests/wide_entry.py
+++ b/berylspool/platform/tests/wide_entry.py
@@ -9,7 +9,7 @@
     make_route,
 )
 from berylspool.platform.upstream.connection import PlatformTransport
-from berylspool.process.entry.forwarder import Forwarder
+from berylspool.process.entry.forwarding.forwarder import Forwarder
 from berylspool.process.entry.routing_message import LeaseGranted
 from berylspool.process.log import LogTask
 from berylspool.process.settings import EntrySettings, Settings
@@ -67,4 +67,4 @@
         body=b"",
         deadline_s=deadline_s,
     )
-    return await forwarder.answer(request, asyncio.Event())
+    return await forwarder.handler.answer(request, asyncio.Event())
--- /dev/null
+++ b/berylspool/process/entry/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The forwarding entry, which passes callers' requests on to upstreams."""
--- a/berylspool/process/entry/forwarder.py
+++ b/berylspool/process/entry/forwarding/forwarder.py
@@ -25,26 +25,21 @@
     Leave,
     TableDrained,
 )
-from berylspool.process.entry.forwarding_state import (
+from berylspool.process.entry.forwarding.forwarding_state import (
     ForwardingState,
-    plan_wait_s,
-    retry_without_plan_s,
 )
-from berylspool.process.entry.lag import TimerLag, early_margin_s, record_lag
+from berylspool.process.entry.forwarding.request_accounting import (
+    count_event,
+    count_reply,
+    update_containment,
+)
+from berylspool.process.entry.forwarding.request_handler import RequestHandler
 from berylspool.process.entry.reply_statistics import (
     ReplyStatistics,
     record_reply,
     take_tallies,
     update_moves,
 )
-from berylspool.process.entry.request_accounting import (
-    Stopwatch,
-    count_event,
-    count_reply,
-    record_outcome,
-    record_refusal,
-    update_containment,
-)
 from berylspool.process.entry.router import Router
 from berylspool.process.entry.routing import RoutingState
 from berylspool.process.entry.routing_message import (
@@ -58,29 +53,17 @@
 from berylspool.process.lifetime import make_stop_event, wait_until_stopped
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_shared_tuning
-from berylspool.process.running_requests import FINISH_S, RunningRequests
+from berylspool.process.running_requests import FINISH_S
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
-from berylspool.request.fanout import PinnedMap
-from berylspool.request.fingerprint import hash64
-from berylspool.request.forward_request import ForwardRequest
-from berylspool.request.query import Outcome, Query, Reason, Refusal
-from berylspool.request.request_task import RequestTask
 from berylspool.version.configuration import Configuration, Document
 from berylspool.version.containment import (
     CrashEvidence,
     add_convictions,
     convict,
     expire,
-    is_convicted,
-)
-from berylspool.version.forwarding import (
-    ForwardPlan,
-    choose_target,
-    find_route,
-    new_query,
-    pin_target,
 )
+from berylspool.version.forwarding import ForwardPlan
 from berylspool.version.listing import Listing
 from berylspool.version.pool.message import Blame, ObservedReply
 from berylspool.version.pool.quarantine import Verdict
@@ -90,8 +73,6 @@
 
 # Shorter than any scrape interval.
 MAINTENANCE_INTERVAL_S = 1.0
-# Retry-after; long, as a request that crashes upstreams does so on each retry.
-QUARANTINE_S = 60.0
 # Enough to write the last answers and to close a few hundred connections.
 CLOSE_TIMEOUT_S = 0.1
 
@@ -145,7 +126,6 @@
         self.metrics = Metrics()
         self.caller_listener: CallerListener | None = None
         self.is_closing = False
-        self.running = RunningRequests(clock)
         self.statistics = ReplyStatistics()
         self.state = ForwardingState(
             settings,
@@ -155,9 +135,6 @@
             clock=clock,
         )
         self._clock = clock
-        self._started_at = clock()
-        self._query_serial = 0
-        self._timer_lag = TimerLag()
         self._tasks: list[asyncio.Task[None]] = []
         self._evidence = CrashEvidence()
         self.router = Router(
@@ -172,6 +149,14 @@
             on_upstream=lambda seen: self.control.inbox.put(seen),
             transport=transport,
         )
+        self.handler = RequestHandler(
+            self.state,
+            self.router.inbox,
+            self._evidence,
+            clock=clock,
+            metrics=self.metrics,
+            log=self.log.put,
+        )
         host, port = split_address(self.own_settings.peer_address)
         self.control = ControlClient(
             Member(name, host, port),
@@ -216,98 +201,6 @@
         self.control.inbox.put(TableDrained(table.epoch))
         self.state.set_entry_count(len(table.member_by_name))
 
-    async def answer(
-        self, request: ForwardRequest, caller_gone: asyncio.Event
-    ) -> Outcome:
-        """Answer one request.
-
-        Args:
-            request: The request as received.
-            caller_gone: Set when the caller closes its connection.
-
-        Returns:
-            An answer or a refusal, no later than the deadline.
-        """
-        stopwatch = Stopwatch(self._clock)
-        if not self.state.initialized.is_set():
-            await self._wait_for_plan(request)
-        view = self.state.view.value
-        refusal = self._find_refusal(request, caller_gone)
-        if refusal is not None:
-            return self._record_refusal(refusal)
-        route = find_route(view.plan, request.host, request.path)
-        if route is None:
-            refusal = Refusal(request.id, Reason.UNKNOWN_ROUTE, True, 0.0)
-            return self._record_refusal(refusal)
-        self._query_serial += 1
-        serial = self._query_serial
-        hedge_share = self.settings.routing.hedge_share
-        early_s = early_margin_s(self._timer_lag, route.target_latency_s)
-        arrived_at = stopwatch.started_at
-        query = new_query(
-            request, route, serial, hedge_share, early_s, arrived_at
-        )
-        if is_convicted(self._evidence, query.fingerprint):
-            return self._record_refusal(
-                Refusal(request.id, Reason.QUARANTINED, True, QUARANTINE_S)
-            )
-        if not self.running.may_end_in_time(query, route.target_latency_s):
-            return self._record_refusal(
-                Refusal(request.id, Reason.SHUTTING_DOWN, True, 0.0)
-            )
-        target = choose_target(route, hash64(query.id))
-        pinned = pin_target(view.plan, target, query.id, view.move_by_service)
-        outcome = await self._run_request(query, pinned, caller_gone)
-        record_outcome(
-            self.metrics,
-            self.log.put,
-            query,
-            route,
-            pinned,
-            self.state.listing_name,
-            outcome,
-            stopwatch,
-        )
-        return outcome
-
-    def _find_refusal(
-        self, request: ForwardRequest, caller_gone: asyncio.Event
-    ) -> Refusal | None:
-        """Return a refusal if the request cannot be served now, else None."""
-        if not self.state.initialized.is_set():
-            retry_s = retry_without_plan_s(self._clock() - self._started_at)
-            return Refusal(request.id, Reason.NO_CONTROL, True, retry_s)
-        if caller_gone.is_set():
-            return Refusal(request.id, Reason.CANCELLED, True, 0.0)
-        return None
-
-    def _record_refusal(self, refusal: Refusal) -> Refusal:
-        plan = self.state.view.value.plan.number
-        listing = self.state.listing_name
-        record_refusal(self.metrics, self.log.put, refusal, plan, listing)
-        return refusal
-
-    async def _run_request(
-        self, query: Query, pinned: PinnedMap, caller_gone: asyncio.Event
-    ) -> Outcome:
-        task = RequestTask(query, self.router.inbox, self._clock)
-        watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
-        try:
-            with self.running.track(task):
-                return await task.run(pinned)
-        finally:
-            watcher.cancel()
-            if task.soft_deadline_lag_s is not None:
-                record_lag(self._timer_lag, task.soft_deadline_lag_s)
-
-    async def _wait_for_plan(self, request: ForwardRequest) -> None:
-        """Wait briefly, as a process that has just started gets a plan soon."""
-        uptime_s = self._clock() - self._started_at
-        timeout_s = plan_wait_s(uptime_s, request.deadline_s)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(timeout_s):
-                await self.state.initialized.wait()
-
     def _handle_reply(self, observed_reply: ObservedReply) -> None:
         record_reply(self.statistics, observed_reply)
         update_containment(self._evidence, observed_reply, self._clock())
@@ -336,13 +229,13 @@
         value_by_gauge = {
             "berylspool_plan": state.view.value.plan.number,
             "berylspool_configuration_revision": state.configuration.revision,
-            "berylspool_in_flight": len(self.running),
+            "berylspool_in_flight": len(self.handler.running),
             "berylspool_members": state.entry_count,
             "berylspool_listed_upstreams": len(state.listing.listed_by_id),
             "berylspool_listing_age_seconds": self._clock() - state.listed_at,
             "berylspool_grant_age_seconds": self.control.grant_age_s(),
             "berylspool_log_lines_dropped": self.log.dropped,
-            "berylspool_timer_lag_seconds": self._timer_lag.mean_s,
+            "berylspool_timer_lag_seconds": self.handler.timer_lag.mean_s,
         }
         for name, value in value_by_gauge.items():
             set_gauge(self.metrics, name, value)
@@ -379,11 +272,10 @@
         ends_at = self._clock() + own_settings.notice_s + own_settings.drain_s
         await asyncio.sleep(own_settings.notice_s)
         callers.stop_listening()
-        self.running.ends_at = ends_at - FINISH_S
-        await self.running.wait_until_idle()
-        await self.running.end_all(
-            lambda: self.router.inbox.put(EntryClosing())
-        )
+        running = self.handler.running
+        running.ends_at = ends_at - FINISH_S
+        await running.wait_until_idle()
+        await running.end_all(lambda: self.router.inbox.put(EntryClosing()))
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await callers.close()
@@ -392,8 +284,3 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         self.log.put(ProcessStopped("entry", self.name))
         self.log.close()
-
-
-async def _watch_caller(caller_gone: asyncio.Event, task: RequestTask) -> None:
-    await caller_gone.wait()
-    task.notify_disconnect()
--- a/berylspool/process/entry/tests/test_forwarding_state.py
+++ b/berylspool/process/entry/forwarding/tests/test_forwarding_state.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from berylspool.process.entry.forwarding_state import (
+from berylspool.process.entry.forwarding.forwarding_state import (
     EXPECTED_START_S,
     RETRY_SPREAD_S,
     ForwardingState,
--- a/berylspool/process/entry/tests/test_lag.py
+++ b/berylspool/process/entry/forwarding/tests/test_lag.py
@@ -2,7 +2,7 @@
 
 import random
 
-from berylspool.process.entry.lag import (
+from berylspool.process.entry.forwarding.lag import (
     TimerLag,
     early_margin_s,
     record_lag,
--- a/berylspool/tests/test_architecture.py
+++ b/berylspool/tests/test_architecture.py
@@ -90,7 +90,7 @@
 @pytest.mark.parametrize(
     "module",
     [
-        "berylspool.process.entry.forwarder",
+        "berylspool.process.entry.forwarding.forwarder",
         "berylspool.process.entry.role",
         "berylspool.process.control.role",
     ],
