Division of wide requests among the entries of a zone

An entry spent 35 ms of its processor share on 90 parts while the others of its zone were idle. It now cuts such a request into slices of about 15 parts, which other entries of the zone run in their own pools; it merges the results.

Off unless the settings state the processor share.

--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -45,6 +45,13 @@
     "berylspool_listed_upstreams": "Upstreams in the listing.",
     "berylspool_timer_lag_seconds": "Mean lag of timers under requests.",
     "berylspool_log_lines_dropped": "Log lines that were discarded.",
+    "berylspool_slices_sent_total": "Slices of wide requests sent to helpers.",
+    "berylspool_slices_received_total": (
+        "Slices of other entries' requests, by whether they were run."
+    ),
+    "berylspool_slices_taken_back_total": (
+        "Slices taken back from helpers, by cause."
+    ),
     "berylspool_hedges_total": "Copies sent beyond the first, by service.",
     "berylspool_grant_age_seconds": "Time since the last grant of a leader.",
     "berylspool_quorum_contact": "Whether this node leads with a quorum.",
--- a/berylspool/common/request_event.py
+++ b/berylspool/common/request_event.py
@@ -5,7 +5,7 @@
 
 from berylspool.common.event import Event
 
-__all__ = ["RequestEnded"]
+__all__ = ["HelperSuspended", "RequestEnded", "SliceTakenBack"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,3 +37,40 @@
     copies: int
     latency_ms: float
     busy_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SliceTakenBack(Event):
+    """Parts of a wide request that another entry was to run are run here.
+
+    Attributes:
+        request: Id of the request.
+        helper: Name of the other entry.
+        cause: Why they are run here.
+        parts: Number of parts without a result.
+        is_accepted: Whether the other entry had accepted them, so that they
+            are paid from the budget of extra copies.
+    """
+
+    number: ClassVar[int] = 2040
+    request: str
+    helper: str
+    cause: str
+    parts: int
+    is_accepted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HelperSuspended(Event):
+    """Another entry gets no parts of wide requests for a while.
+
+    Attributes:
+        helper: Name of the other entry.
+        cause: Why parts were taken back from it.
+        pause_s: Time until it may get parts again, in seconds.
+    """
+
+    number: ClassVar[int] = 2041
+    helper: str
+    cause: str
+    pause_s: float
--- a/berylspool/connection/message.py
+++ b/berylspool/connection/message.py
@@ -4,10 +4,12 @@
 
 from berylspool.common.frame import Codec
 from berylspool.request.query import (
+    Forward,
     Part,
     PartFailed,
     PartRefused,
     PartRows,
+    UpstreamResponse,
 )
 from berylspool.version.pool.message import Blame
 
@@ -20,6 +22,13 @@
     "MemberTable",
     "Ping",
     "Pong",
+    "RunSlice",
+    "SliceAccepted",
+    "SliceDropped",
+    "SliceProbe",
+    "SliceRefused",
+    "SliceResults",
+    "make_delegation_codec",
     "make_peer_codec",
 ]
 
@@ -79,11 +88,13 @@
         name: Unique name of the entry.
         host: IP address that peers connect to.
         port: TCP port that peers connect to.
+        zone: Availability zone; empty if an older build sent it.
     """
 
     name: str
     host: str
     port: int
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,6 +116,108 @@
     member_by_name: dict[str, Member] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class RunSlice:
+    """Request to another entry of the zone to run parts of a wide request.
+
+    Attributes:
+        id: Number of the slice, unique among those of the sender.
+        request_id: Id of the request.
+        route: Name of its route.
+        fingerprint: Its fingerprint.
+        forward: The request itself.
+        parts: Service, shard and software version of each part.
+        partition: Partition of the snapshot of all parts.
+        timeout_s: Time left for the parts, in seconds.
+        attempts: Maximum number of upstreams that may run one part.
+    """
+
+    id: int
+    request_id: str
+    route: str
+    fingerprint: str
+    forward: Forward
+    parts: tuple[tuple[str, int, str], ...]
+    partition: int
+    timeout_s: float
+    attempts: int
+
+
+@dataclass(frozen=True, slots=True)
+class SliceAccepted:
+    """The helper runs the slice; also its answer to a `SliceProbe`."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SliceRefused:
+    """The helper has not run the slice and will not run it."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SliceProbe:
+    """Question to the helper whether it still runs the slice."""
+
+    id: int
+
+
+@dataclass(frozen=True, slots=True)
+class SliceResults:
+    """Results of parts of a slice; parts are named by their position in it.
+
+    Attributes:
+        id: Number of the slice.
+        rows: Position, copies sent, stamp, and records one after another, of
+            each complete answer.
+        refused: Position, reason and retry-after in seconds of each part that
+            no upstream has run.
+        failed: Position, reason and copies sent of each part that an upstream
+            may have run.
+        response: Error response of an upstream to the last failed part, if
+            there was one.
+    """
+
+    id: int
+    rows: tuple[tuple[int, int, str, bytes], ...] = ()
+    refused: tuple[tuple[int, str, float], ...] = ()
+    failed: tuple[tuple[int, str, int], ...] = ()
+    response: UpstreamResponse | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class SliceDropped:
+    """The parts of the slice without a result are no longer needed.
+
+    Attributes:
+        id: Number of the slice.
+        is_caller_gone: Whether the caller has disconnected, so that work on
+            the parts must end.
+    """
+
+    id: int
+    is_caller_gone: bool = False
+
+
+def make_delegation_codec() -> Codec:
+    """Return a codec for links on which entries run parts for each other."""
+    return Codec(
+        [
+            Hello,
+            Ping,
+            Pong,
+            RunSlice,
+            SliceAccepted,
+            SliceRefused,
+            SliceProbe,
+            SliceResults,
+            SliceDropped,
+        ]
+    )
+
+
 def make_peer_codec() -> Codec:
     """Return a codec for links between entries."""
     return Codec(
--- a/berylspool/connection/peer.py
+++ b/berylspool/connection/peer.py
@@ -29,33 +29,41 @@
 BACKOFF_JITTER = 0.5
 PING_INTERVAL_S = 0.5
 RECEIVE_TIMEOUT_S = 1.5
+# A stream that carries nothing for this many ping intervals is lost.
+SILENT_INTERVALS = 3
 MAX_MESSAGES_PER_FRAME = 256
 
 Sink = Callable[[Any], None]
 
 
-async def _write_messages(stream: IOStream, inbox: Mailbox[Any], codec: Codec):
+async def _write_messages(
+    stream: IOStream, inbox: Mailbox[Any], codec: Codec, ping_s: float
+):
     """Write the messages of the inbox, many in one frame.
 
-    An idle stream carries a `Ping` every `PING_INTERVAL_S` seconds.
+    An idle stream carries a `Ping` every `ping_s` seconds.
     """
     while True:
-        messages = await inbox.take(PING_INTERVAL_S) or [Ping()]
+        messages = await inbox.take(ping_s) or [Ping()]
         for start in range(0, len(messages), MAX_MESSAGES_PER_FRAME):
             batch = messages[start : start + MAX_MESSAGES_PER_FRAME]
             await stream.write(codec.encode(batch))
 
 
 async def _read_messages(
-    stream: IOStream, codec: Codec, inbox: Mailbox[Any], sink: Sink
+    stream: IOStream,
+    codec: Codec,
+    inbox: Mailbox[Any],
+    sink: Sink,
+    ping_s: float,
 ) -> None:
     """Pass each message to the sink until the stream ends.
 
     Raises:
-        TimeoutError: No frame arrived for `RECEIVE_TIMEOUT_S` seconds.
+        TimeoutError: No frame arrived for `SILENT_INTERVALS` ping intervals.
     """
     while True:
-        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+        async with asyncio.timeout(ping_s * SILENT_INTERVALS):
             header = await stream.read_bytes(HEADER_BYTES)
             body = await stream.read_bytes(frame_length(header))
         for message in codec.decode(body):
@@ -69,12 +77,18 @@
 
 
 async def _run_stream(
-    stream: IOStream, codec: Codec, inbox: Mailbox[Any], sink: Sink
+    stream: IOStream,
+    codec: Codec,
+    inbox: Mailbox[Any],
+    sink: Sink,
+    ping_s: float,
 ) -> None:
     """Write and read concurrently until reading ends, then close."""
-    writer = asyncio.ensure_future(_write_messages(stream, inbox, codec))
+    writer = asyncio.ensure_future(
+        _write_messages(stream, inbox, codec, ping_s)
+    )
     try:
-        await _read_messages(stream, codec, inbox, sink)
+        await _read_messages(stream, codec, inbox, sink, ping_s)
     finally:
         writer.cancel()
         stream.close()
@@ -96,6 +110,7 @@
         on_open: Called when the link opens.
         on_close: Called when the link is lost, and after each failed attempt to
             open it.
+        ping_s: Time after which an idle stream carries a `Ping`, in seconds.
     """
 
     def __init__(
@@ -108,8 +123,10 @@
         sink: Sink,
         on_open: Callable[[], None],
         on_close: Callable[[], None],
+        ping_s: float = PING_INTERVAL_S,
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
+        self._ping_s = ping_s
         self._name = name
         self._host = host
         self._port = port
@@ -129,7 +146,9 @@
                 await stream.write(self._codec.encode([Hello(self._name)]))
                 self._on_open()
                 backoff_s = INITIAL_BACKOFF_S
-                await _run_stream(stream, self._codec, self.inbox, self._sink)
+                await _run_stream(
+                    stream, self._codec, self.inbox, self._sink, self._ping_s
+                )
             except (OSError, TimeoutError, StreamClosedError, FrameError):
                 pass
             finally:
@@ -149,6 +168,7 @@
         id: Id of the session, unique within this process.
         stream: The accepted stream.
         codec: Codec of the link.
+        ping_s: Time after which an idle stream carries a `Ping`, in seconds.
 
     Attributes:
         id: Id of the session.
@@ -156,12 +176,15 @@
         peer: Name of the peer; empty until its `Hello` arrives.
     """
 
-    def __init__(self, id: str, stream: IOStream, codec: Codec) -> None:
+    def __init__(
+        self, id: str, stream: IOStream, codec: Codec, ping_s: float
+    ) -> None:
         self.id = id
         self.inbox: Mailbox[Any] = Mailbox()
         self.peer = ""
         self._stream = stream
         self._codec = codec
+        self._ping_s = ping_s
 
     async def run(self, sink: Callable[["Session", Any], None]) -> None:
         """Serve the stream until it ends.
@@ -182,6 +205,7 @@
                 self._codec,
                 self.inbox,
                 lambda message: sink(self, message),
+                self._ping_s,
             )
         except (OSError, TimeoutError, StreamClosedError):
             pass
@@ -210,6 +234,7 @@
         sink: Receives the session and each message.
         on_session_end: Receives each ended session, and its protocol error
             or None.
+        ping_s: Time after which an idle stream carries a `Ping`, in seconds.
     """
 
     def __init__(
@@ -218,8 +243,10 @@
         *,
         sink: Callable[[Session, Any], None],
         on_session_end: Callable[[Session, ProtocolError | None], None],
+        ping_s: float = PING_INTERVAL_S,
     ) -> None:
         super().__init__()
+        self._ping_s = ping_s
         self._codec = codec
         self._sink = sink
         self._on_session_end = on_session_end
@@ -230,7 +257,9 @@
         """Run the session of one accepted stream."""
         stream.set_nodelay(True)
         self._session_count += 1
-        session = Session(str(self._session_count), stream, self._codec)
+        session = Session(
+            str(self._session_count), stream, self._codec, self._ping_s
+        )
         self.session_by_id[session.id] = session
         error: ProtocolError | None = None
         try:
--- /dev/null
+++ b/berylspool/process/entry/delegation/__init__.py
@@ -0,0 +1,1 @@
+"""Division of wide requests among the entries of a zone."""
--- /dev/null
+++ b/berylspool/process/entry/delegation/helper.py
@@ -0,0 +1,199 @@
+"""The side of an entry that runs parts for other entries of its zone."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from berylspool.common.event import Event, LinkChanged
+from berylspool.common.mailbox import Mailbox
+from berylspool.common.metric import Metrics, increment_counter
+from berylspool.connection.message import (
+    RunSlice,
+    SliceAccepted,
+    SliceDropped,
+    SliceProbe,
+    SliceRefused,
+    make_delegation_codec,
+)
+from berylspool.connection.peer import LinkServer, Session
+from berylspool.exception import ProtocolError
+from berylspool.process.entry.delegation.slice_codec import (
+    decode_slice,
+    encode_results,
+)
+from berylspool.process.entry.router import Router
+from berylspool.request.part_message import (
+    DiscardPart,
+    Origin,
+    RunParts,
+    Subscribe,
+    Unsubscribe,
+)
+from berylspool.request.query import Part, PartRefused, PartResult, Reason
+
+__all__ = ["Helper"]
+
+# The first entry runs the part itself.
+NO_WAIT_S = 0.0
+
+
+@dataclass(slots=True)
+class _RunningSlice:
+    """A slice that runs here.
+
+    Attributes:
+        id: Number of the slice at the first entry.
+        session: Session of the first entry.
+        place_by_part: Position and part of each part without a result, by
+            part id.
+    """
+
+    id: int
+    session: Session
+    place_by_part: dict[str, tuple[int, Part]]
+
+
+class _SliceInbox(Mailbox[Any]):
+    """Inbox of a slice; results are sent on as they are put."""
+
+    def __init__(self, on_results: Callable[[list[PartResult]], None]) -> None:
+        super().__init__()
+        self._on_results = on_results
+
+    def put_all(self, messages: Any) -> None:
+        """Send results to the first entry."""
+        self._on_results(list(messages))
+
+
+class Helper:
+    """Runs slices of other entries' requests in the pools of this entry.
+
+    Args:
+        router: Router of the entry.
+        was_frozen: Returns whether a message that is read now is likely old.
+        log: Called with each log event.
+        metrics: Metrics of the process.
+        ping_s: Time after which an idle link carries a `Ping`, in seconds.
+
+    Attributes:
+        server: Accepts the links of the other entries.
+        is_stopping: Whether the process stops and accepts no more slices.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        was_frozen: Callable[[], bool],
+        *,
+        log: Callable[[Event], None],
+        metrics: Metrics,
+        ping_s: float,
+    ) -> None:
+        self.server = LinkServer(
+            make_delegation_codec(),
+            sink=self._handle,
+            on_session_end=self._handle_session_end,
+            ping_s=ping_s,
+        )
+        self.is_stopping = False
+        self._router = router
+        self._was_frozen = was_frozen
+        self._log = log
+        self._metrics = metrics
+        self._slice_by_key: dict[tuple[str, int], _RunningSlice] = {}
+
+    def _handle(self, session: Session, message: Any) -> None:
+        match message:
+            case RunSlice():
+                self._accept(session, message)
+            case SliceProbe(id=id):
+                is_running = (session.id, id) in self._slice_by_key
+                reply = SliceAccepted(id) if is_running else SliceRefused(id)
+                session.inbox.put(reply)
+            case SliceDropped(id=id, is_caller_gone=is_caller_gone):
+                self._drop((session.id, id), is_caller_gone)
+
+    def _accept(self, session: Session, message: RunSlice) -> None:
+        key = (session.id, message.id)
+        if self.is_stopping or self._was_frozen():
+            # The first entry has given up waiting, or is about to.
+            session.inbox.put(SliceRefused(message.id))
+            self._count("refused")
+            return
+        session.inbox.put(SliceAccepted(message.id))
+        parts = decode_slice(message, f"{session.id}.{message.id}")
+        slice = _RunningSlice(
+            message.id,
+            session,
+            {part.id: (index, part) for index, part in enumerate(parts)},
+        )
+        self._slice_by_key[key] = slice
+        self._count("accepted")
+        known = [part for part in parts if self._has_pool(part)]
+        if len(known) < len(parts):
+            self._refuse_unknown(key, slice, parts)
+        if known:
+            origin = Origin(_origin_id(key))
+            inbox = _SliceInbox(lambda results: self._send(key, results))
+            self._router.inbox.put(Subscribe(origin.id, inbox))
+            self._router.inbox.put(RunParts(origin, known))
+
+    def _has_pool(self, part: Part) -> bool:
+        """Return whether this entry knows the service and the version."""
+        key = (part.service, part.snapshot.version)
+        routing = self._router.routing
+        return key in routing.pool_keys and key not in routing.closing_pool_keys
+
+    def _refuse_unknown(
+        self, key: tuple[str, int], slice: _RunningSlice, parts: list[Part]
+    ) -> None:
+        refusals: list[PartResult] = [
+            PartRefused(part.id, Reason.NO_OWNER, NO_WAIT_S)
+            for part in parts
+            if not self._has_pool(part)
+        ]
+        self._send(key, refusals)
+
+    def _send(self, key: tuple[str, int], results: list[PartResult]) -> None:
+        slice = self._slice_by_key.get(key)
+        if slice is None:
+            return
+        placed = []
+        for result in results:
+            place = slice.place_by_part.pop(result.part_id, None)
+            if place is not None:
+                placed.append((*place, result))
+        if placed:
+            slice.session.inbox.put(encode_results(slice.id, placed))
+        if not slice.place_by_part:
+            self._forget(key)
+
+    def _drop(self, key: tuple[str, int], is_caller_gone: bool) -> None:
+        slice = self._slice_by_key.get(key)
+        if slice is None:
+            return
+        self._forget(key)
+        for part_id in slice.place_by_part:
+            self._router.inbox.put(DiscardPart(part_id, is_caller_gone))
+
+    def _forget(self, key: tuple[str, int]) -> None:
+        del self._slice_by_key[key]
+        self._router.inbox.put(Unsubscribe(_origin_id(key)))
+
+    def _handle_session_end(
+        self, session: Session, error: ProtocolError | None
+    ) -> None:
+        if error is not None:
+            self._log(LinkChanged(session.peer or "unknown", str(error)))
+        for key in [key for key in self._slice_by_key if key[0] == session.id]:
+            self._drop(key, is_caller_gone=True)
+
+    def _count(self, outcome: str) -> None:
+        name = "berylspool_slices_received_total"
+        increment_counter(self._metrics, name, outcome=outcome)
+
+
+def _origin_id(key: tuple[str, int]) -> str:
+    """Return the id of a slice among the requests of this entry."""
+    session_id, slice_id = key
+    return f"slice {session_id}.{slice_id}"
--- a/berylspool/process/entry/forwarding/forwarder.py
+++ b/berylspool/process/entry/forwarding/forwarder.py
@@ -25,6 +25,8 @@
     Leave,
     TableDrained,
 )
+from berylspool.process.entry.delegation.delegation import make_delegation
+from berylspool.process.entry.delegation.division import members_by_zone
 from berylspool.process.entry.forwarding.forwarding_state import (
     ForwardingState,
 )
@@ -149,6 +151,14 @@
             on_upstream=lambda seen: self.control.inbox.put(seen),
             transport=transport,
         )
+        self.delegation = make_delegation(
+            name,
+            settings,
+            self.router,
+            clock=clock,
+            log=self.log.put,
+            metrics=self.metrics,
+        )
         self.handler = RequestHandler(
             self.state,
             self.router.inbox,
@@ -156,10 +166,11 @@
             clock=clock,
             metrics=self.metrics,
             log=self.log.put,
+            delegation=self.delegation,
         )
         host, port = split_address(self.own_settings.peer_address)
         self.control = ControlClient(
-            Member(name, host, port),
+            Member(name, host, port, self.own_settings.zone),
             uuid.uuid4().hex[:8],
             settings,
             clock=clock,
@@ -200,6 +211,11 @@
         """Report the table as drained, as no service is owned."""
         self.control.inbox.put(TableDrained(table.epoch))
         self.state.set_entry_count(len(table.member_by_name))
+        if self.delegation is not None:
+            self.state.set_zone_members(
+                members_by_zone(table.member_by_name.values()), self.name
+            )
+            self.delegation.set_members(table)
 
     def _handle_reply(self, observed_reply: ObservedReply) -> None:
         record_reply(self.statistics, observed_reply)
@@ -258,6 +274,8 @@
         self._spawn(self.router.run())
         self._spawn(self.control.run())
         self._spawn(self._run_maintenance())
+        if self.delegation is not None:
+            self._spawn(self.delegation.run())
         self.router.inbox.put(LeaseGranted(float("inf")))
         self.caller_listener.listen(self.own_settings.address)
         self.log.put(ProcessStarted("entry", self.name, VERSION))
@@ -268,6 +286,8 @@
         """Finish the requests in flight, then close."""
         self.is_closing = True
         self.control.inbox.put(Leave())
+        if self.delegation is not None:
+            self.delegation.stop_helping()
         own_settings = self.own_settings
         ends_at = self._clock() + own_settings.notice_s + own_settings.drain_s
         await asyncio.sleep(own_settings.notice_s)
--- a/berylspool/process/entry/forwarding/forwarding_state.py
+++ b/berylspool/process/entry/forwarding/forwarding_state.py
@@ -8,6 +8,10 @@
 from berylspool.common.event import Event, PlanRefused
 from berylspool.common.published_value import PublishedValue
 from berylspool.exception import ConfigurationError
+from berylspool.process.entry.delegation.division import (
+    Ownership,
+    find_ownership,
+)
 from berylspool.process.settings import Settings
 from berylspool.version.configuration import Configuration, Document
 from berylspool.version.forwarding import ForwardPlan
@@ -124,6 +128,8 @@
         self._on_change = on_change
         self._clock = clock
         self._revision = 0
+        self._names_by_zone: dict[str, frozenset[str]] = {}
+        self._name = ""
         self._refused_plan_number = 0
         self._is_refresh_scheduled = False
 
@@ -149,6 +155,30 @@
             self.entry_count = max(1, entry_count)
             self._schedule_refresh()
 
+    def set_zone_members(
+        self, names_by_zone: dict[str, frozenset[str]], name: str
+    ) -> None:
+        """Update the entries of each zone, among which requests are divided.
+
+        Args:
+            names_by_zone: Names of the entries in each zone.
+            name: Name of this entry.
+        """
+        if names_by_zone != self._names_by_zone:
+            self._names_by_zone, self._name = names_by_zone, name
+            self._schedule_refresh()
+
+    def _find_ownership(self, plan: ForwardPlan) -> Ownership:
+        if not self._name:
+            return Ownership({}, frozenset())
+        return find_ownership(
+            plan,
+            self._names_by_zone,
+            self.settings.entries[self._name].zone,
+            self._name,
+            self.settings.routing.processor_share,
+        )
+
     def _schedule_refresh(self) -> None:
         if not self._is_refresh_scheduled:
             self._is_refresh_scheduled = True
@@ -168,11 +198,14 @@
             self.initialized.set()
         self._revision += 1
         routing = self.settings.routing
+        ownership = self._find_ownership(plan)
         shared_limits = SharedLimits(
             self.entry_count,
             routing.extra_slack,
             routing.cold_factor,
             routing.cold_slack,
+            ownership.owners_by_service,
+            ownership.owned,
         )
         self._on_change(
             build_pool_configuration(
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -3,10 +3,12 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
+from typing import Any
 
 from berylspool.common.event import Event
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics
+from berylspool.process.entry.delegation.delegation import Delegation
 from berylspool.process.entry.forwarding.forwarding_state import (
     ForwardingState,
     plan_wait_s,
@@ -53,6 +55,7 @@
         clock: Returns the monotonic time in seconds.
         metrics: Metrics of the process.
         log: Called with each log event.
+        delegation: Divides wide requests; None if none are divided.
 
     Attributes:
         running: Requests that have no outcome yet.
@@ -68,11 +71,13 @@
         clock: Callable[[], float],
         metrics: Metrics,
         log: Callable[[Event], None],
+        delegation: Delegation | None = None,
     ) -> None:
+        self._delegation = delegation
         self.running = RunningRequests(clock)
         self.timer_lag = TimerLag()
         self._state = state
-        self._router = router
+        self._router: Mailbox[Any] = router
         self._evidence = evidence
         self._clock = clock
         self._metrics = metrics
@@ -121,7 +126,12 @@
             )
         target = choose_target(route, hash64(query.id))
         pinned = pin_target(view.plan, target, query.id, view.move_by_service)
-        outcome = await self._run_request(query, pinned, caller_gone)
+        router = self._router
+        if self._delegation is not None:
+            router = self._delegation.choose_inbox(
+                route, len(pinned.services), len(request.body), router
+            )
+        outcome = await self._run_request(query, pinned, router, caller_gone)
         record_outcome(
             self._metrics,
             self._log,
@@ -152,9 +162,13 @@
         return refusal
 
     async def _run_request(
-        self, query: Query, pinned: PinnedMap, caller_gone: asyncio.Event
+        self,
+        query: Query,
+        pinned: PinnedMap,
+        router: Mailbox[Any],
+        caller_gone: asyncio.Event,
     ) -> Outcome:
-        task = RequestTask(query, self._router, self._clock)
+        task = RequestTask(query, router, self._clock)
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
         try:
             with self.running.track(task):
--- a/berylspool/process/entry/ownership.py
+++ b/berylspool/process/entry/ownership.py
@@ -31,6 +31,7 @@
 __all__ = [
     "PendingPart",
     "RoutingState",
+    "apply_configuration",
     "build_reconfiguration",
     "close_moved_pools",
     "derive_owners",
@@ -216,6 +217,23 @@
     return actions
 
 
+def apply_configuration(
+    routing: RoutingState, configuration: Configuration
+) -> list[RoutingAction]:
+    """Reconfigure the pools, and start those of services that are new."""
+    if configuration.revision < routing.configuration.revision:
+        return []
+    previous_services = routing.configuration.service_by_name.keys()
+    routing.configuration = configuration
+    if configuration.service_by_name.keys() != previous_services:
+        recompute_owners(routing)
+    actions: list[RoutingAction] = [
+        SendToPool(key, build_reconfiguration(routing, key))
+        for key in sorted(routing.pool_keys)
+    ]
+    return actions + start_owned_pools(routing)
+
+
 def ensure_pool(routing: RoutingState, key: PoolKey) -> list[RoutingAction]:
     """Start a pool unless it is already running."""
     if key in routing.pool_keys:
--- a/berylspool/process/entry/routing.py
+++ b/berylspool/process/entry/routing.py
@@ -10,12 +10,11 @@
 from berylspool.process.entry.ownership import (
     PendingPart,
     RoutingState,
-    build_reconfiguration,
+    apply_configuration,
     close_moved_pools,
     derive_owners,
     ensure_pool,
     find_owner,
-    recompute_owners,
     start_owned_pools,
     stop_drained_pool,
 )
@@ -57,7 +56,6 @@
     PartRows,
     Reason,
 )
-from berylspool.version.configuration import Configuration
 from berylspool.version.pool.message import (
     Blame,
     CloseRequested,
@@ -110,7 +108,7 @@
         case TableChanged(table=table):
             return _apply_table(routing, table, now)
         case ConfigurationChanged(configuration=configuration):
-            return _apply_configuration(routing, configuration)
+            return apply_configuration(routing, configuration)
         case LeaseGranted(until=until):
             routing.lease_until = max(routing.lease_until, until)
             return [
@@ -166,14 +164,17 @@
 ) -> list[RoutingAction]:
     """Accept the parts of a local request, all of them or none."""
     reason = _refusal_reason_for_all(routing, now)
+    if reason is not None:
+        refusals: list[PartResult] = [
+            PartRefused(part.id, reason, REFUSAL_RETRY_AFTER_S)
+            for part in parts
+        ]
+        return [SendAllToOrigin(origin, refusals)]
     actions: list[RoutingAction] = []
+    pending_by_part = routing.pending_by_part
     for part in parts:
-        if reason is not None:
-            refusal = PartRefused(part.id, reason, REFUSAL_RETRY_AFTER_S)
-            actions.append(SendToOrigin(origin, refusal))
-            continue
         pending = PendingPart(part, origin, now + part.timeout_s)
-        routing.pending_by_part[part.id] = pending
+        pending_by_part[part.id] = pending
         actions += _dispatch_part(routing, pending, now)
     return actions
 
@@ -376,22 +377,6 @@
     return close_moved_pools(routing)
 
 
-def _apply_configuration(
-    routing: RoutingState, configuration: Configuration
-) -> list[RoutingAction]:
-    if configuration.revision < routing.configuration.revision:
-        return []
-    previous_services = routing.configuration.service_by_name.keys()
-    routing.configuration = configuration
-    if configuration.service_by_name.keys() != previous_services:
-        recompute_owners(routing)
-    actions: list[RoutingAction] = [
-        SendToPool(key, build_reconfiguration(routing, key))
-        for key in sorted(routing.pool_keys)
-    ]
-    return actions + start_owned_pools(routing)
-
-
 def _send_blame_to_pools(
     routing: RoutingState, blame: Blame
 ) -> list[RoutingAction]:
--- a/berylspool/process/settings.py
+++ b/berylspool/process/settings.py
@@ -82,6 +82,8 @@
             counts as silent, in seconds.
         wait_share: Limit on the expected wait of a part, as a share of its
             time-out.
+        processor_share: Share of a core that an entry has; 0 if unknown, so
+            that wide requests are never divided.
     """
 
     sharing: Literal["owned", "alone"] = "owned"
@@ -102,6 +104,7 @@
     queue_limit: int = Field(256, ge=1)
     silent_s: float = Field(1.0, gt=0)
     wait_share: float = Field(0.7, gt=0, le=1)
+    processor_share: float = Field(0.0, ge=0)
 
 
 class EntrySettings(StrictModel):
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -105,6 +105,8 @@
         hedge_after_s: Time without an answer after which a second copy is
             sent, in seconds; None for no second copy.
         rank: Priority of its route; 0 is the most urgent.
+        target_latency_s: Target latency of its route, in seconds; 0 if none
+            is stated.
     """
 
     method: str
@@ -115,6 +117,7 @@
     attempts: int = 1
     hedge_after_s: float | None = None
     rank: int = 0
+    target_latency_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +211,8 @@
         idempotent: Whether the part may be sent more than once.
         route: Name of the route.
         forward: Original request, if it is forwarded to upstreams unchanged.
+        is_extra: Whether an upstream may have run the part already, so that
+            its first copy here is paid from the budget of extra copies.
     """
 
     id: str
@@ -221,6 +226,7 @@
     idempotent: bool
     route: str
     forward: Forward | None = None
+    is_extra: bool = False
 
 
 @dataclass(slots=True)
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -250,6 +250,7 @@
         attempts=route.max_attempts,
         hedge_after_s=(route.target_latency_s or timeout_s) * hedge_share,
         rank=route.rank,
+        target_latency_s=route.target_latency_s,
     )
     soft_deadline = None
     if route.is_fan_out and route.target_latency_s:
--- a/berylspool/version/listing.py
+++ b/berylspool/version/listing.py
@@ -86,12 +86,17 @@
         cold_factor: Request rate that a cold upstream may get, as a multiple
             of its stated rate.
         cold_slack: Requests that it may get beyond that rate in any second.
+        owners_by_service: Number of entries that run most parts for a service
+            whose wide requests are divided.
+        owned: Services for which this entry is one of them.
     """
 
     entries: int = 1
     extra_copies: float = 0.0
     cold_factor: float = 1.0
     cold_slack: float = 0.0
+    owners_by_service: Mapping[str, int] = field(default_factory=dict)
+    owned: frozenset[str] = frozenset()
 
 
 def listing_difference(
@@ -214,6 +219,9 @@
     service: ForwardService, slots: int, shared_limits: SharedLimits
 ) -> Limits:
     """Return the limits of one entry on an upstream of a service."""
+    owners = shared_limits.owners_by_service.get(service.name, 0)
+    if owners:
+        return _divided_limits(service, slots, shared_limits, owners)
     sharing_entries = max(1, shared_limits.entries)
     share = connections_per_entry(service.connections, sharing_entries)
     # Callers are spread unevenly over entries, so a busy entry may exceed its
@@ -235,6 +243,33 @@
     )
 
 
+def _divided_limits(
+    service: ForwardService,
+    slots: int,
+    shared_limits: SharedLimits,
+    owners: int,
+) -> Limits:
+    """Return the limits of one entry on an upstream of a divided service.
+
+    Owners together and all entries together have half of the connections
+    each.  Only owners hold extra copies in advance, as they send most parts.
+    """
+    is_owner = service.name in shared_limits.owned
+    sharers = owners if is_owner else max(1, shared_limits.entries)
+    share = connections_per_entry(service.connections // 2, sharers)
+    extra_copies = shared_limits.extra_copies * HELD_COPY_SHARE / owners
+    return Limits(
+        slots=slots,
+        connections=max(1, int(share)),
+        cold_slots=slots,
+        ramp_s=0.0,
+        extra_copies=extra_copies if is_owner else 0.0,
+        cold_s=service.cold_s,
+        cold_per_s=entry_cold_rate(service.cold_per_s, shared_limits),
+        share=share,
+    )
+
+
 def entry_cold_rate(per_s: float, shared_limits: SharedLimits) -> float | None:
     """Return one entry's share of the request rate of a cold upstream.
 
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -20,6 +20,7 @@
 )
 from berylspool.version.pool.availability import (
     make_refusal,
+    may_run_suspect,
     refusal_reason,
     refuse_unservable,
     remove_ended,
@@ -35,6 +36,7 @@
 from berylspool.version.pool.extra_copies import (
     hedge_part,
     on_copies_lent,
+    retry_within_budget,
 )
 from berylspool.version.pool.hedging import deposit
 from berylspool.version.pool.message import (
@@ -80,7 +82,6 @@
 )
 from berylspool.version.upstream.notices import on_instance_changed
 from berylspool.version.upstream.slow_start import (
-    is_warm,
     on_instance_report,
     on_send,
 )
@@ -163,8 +164,10 @@
         return [SendResult(make_refusal(pool, part.id, reason, now))]
     job = Job(part, now + part.timeout_s, now)
     pool.job_by_part[part.id] = job
-    deposit(pool.budget)
     set_timer(pool, job.deadline, part.id, TimerKind.DEADLINE)
+    if part.is_extra:
+        return retry_within_budget(pool, job, now, 0.0)
+    deposit(pool.budget)
     if not pool.queue and now < pool.lease_until:
         sent = _send_copy(pool, job, is_hedge=False, now=now)
         if sent is not None:
@@ -261,7 +264,7 @@
     """
     views = pool.view_by_upstream.values()
     reserved = next((v for v in views if v.reserved_for), None)
-    if reserved is not None and not _may_run_suspect(reserved, now):
+    if reserved is not None and not may_run_suspect(reserved, now):
         reserved.reserved_for = None
         reserved = None
     if reserved is None:
@@ -284,18 +287,6 @@
     return reserved if is_ready else None
 
 
-def _may_run_suspect(view: UpstreamView, now: float) -> bool:
-    """Return whether a reserved upstream may still run its suspect."""
-    if view.in_flight:
-        return True
-    return (
-        view.is_serving
-        and not view.is_draining
-        and now >= view.paused_until
-        and is_warm(view.slow_start, view.limits, now)
-    )
-
-
 def _send_copy(
     pool: Pool, job: Job, is_hedge: bool, now: float
 ) -> list[PoolAction] | None:
--- a/berylspool/version/pool/availability.py
+++ b/berylspool/version/pool/availability.py
@@ -32,6 +32,7 @@
     "closed_reason",
     "end_unservable",
     "make_refusal",
+    "may_run_suspect",
     "note_pending_notice",
     "on_notice",
     "on_overrun",
@@ -90,6 +91,18 @@
     pool.noticed_until = max(pool.noticed_until, ends_at)
 
 
+def may_run_suspect(view: UpstreamView, now: float) -> bool:
+    """Return whether a reserved upstream may still run its suspect."""
+    if view.in_flight:
+        return True
+    return (
+        view.is_serving
+        and not view.is_draining
+        and now >= view.paused_until
+        and is_warm(view.slow_start, view.limits, now)
+    )
+
+
 def refusal_reason(pool: Pool, part: Part, now: float) -> Reason | None:
     """Return why a new part must be refused, or None to admit it."""
     if pool.is_closing:
