--- a/berylspool/platform/tests/wide_entry.py
+++ b/berylspool/platform/tests/wide_entry.py
@@ -12,12 +12,14 @@
 from berylspool.process.entry.forwarding.forwarder import Forwarder
 from berylspool.process.entry.routing_message import LeaseGranted
 from berylspool.process.log import LogTask
-from berylspool.process.settings import EntrySettings, Settings
+from berylspool.process.settings import EntrySettings, RoutingSettings, Settings
 from berylspool.request.forward_request import ForwardRequest
 from berylspool.version.configuration import Configuration
 
 
-async def start_wide_entry(clock, listing, services, entries, route_changes):
+async def start_wide_entry(
+    clock, listing, services, entries, route_changes, processor_share=0.0
+):
     """Start an entry, with the log settings of the platform.
 
     Args:
@@ -26,6 +28,7 @@
         services: Services of the route.
         entries: Number of entries that share the upstreams.
         route_changes: Fields of the route.
+        processor_share: Share of a core that the entry has; 0 if unknown.
 
     Returns:
         The entry and the task of its router.
@@ -35,7 +38,10 @@
     )
     forwarder = Forwarder(
         "e1",
-        Settings(entries={"e1": entry}),
+        Settings(
+            entries={"e1": entry},
+            routing=RoutingSettings(processor_share=processor_share),
+        ),
         decode=decode_plan,
         transport=PlatformTransport(clock),
         control_port=None,
