--- a/berylspool/platform/tests/test_division.py
+++ b/berylspool/platform/tests/test_division.py
@@ -1,8 +1,18 @@
 """Wide requests divided among the entries of a zone, over sockets."""
 
+import asyncio
+import time
+
+from berylspool.connection.message import Member
 from berylspool.platform.tests.test_forwarding import make_records
-from berylspool.platform.tests.zone import SERVICES, run_zone
+from berylspool.platform.tests.zone import (
+    ANSWER_TIMEOUT_S,
+    SERVICES,
+    Proxy,
+    run_zone,
+)
 from berylspool.request.query import Answer
+from berylspool.tests.cluster import free_ports
 
 ALL_RECORDS = make_records(*range(45))
 
@@ -39,3 +49,233 @@
     accepted = run_zone(scenario)
     # Three slices, four entries: a helper runs its slice for three others.
     assert sorted(accepted.values()) == [0, 3, 3, 3]
+
+
+def test_killed_helper_loses_no_part():
+    """A helper that dies after accepting would take its slice with it."""
+
+    async def scenario(zone):
+        zone.upstreams.delay_s = 0.3
+        asking = asyncio.ensure_future(zone.ask("e1", "r"))
+        helper = await first_helper(zone)
+        await zone.wait_until(lambda: zone.upstreams.started["r"])
+        zone.kill_entry(helper)
+        answer = await asking
+        return zone, answer, zone.taken_back("e1", "link_lost")
+
+    zone, answer, taken_back = run_zone(scenario)
+    assert_whole(answer)
+    assert taken_back == 1
+    assert zone.upstreams.most_copies("r") <= 2
+
+
+async def first_helper(zone):
+    """Return an entry that has accepted a slice."""
+    names = [name for name in zone.entry_by_name if name != "e1"]
+    await zone.wait_until(lambda: any(map(zone.accepted, names)))
+    return next(filter(zone.accepted, names))
+
+
+async def put_proxies(zone):
+    """Lead the links of `e1` through proxies, by the name of the helper."""
+    proxies = {}
+    members = dict(zone.member_by_name)
+    for name, member in zone.member_by_name.items():
+        if name != "e1":
+            proxies[name] = proxy = Proxy(member.port)
+            await proxy.start()
+            members[name] = Member(name, "127.0.0.1", proxy.port, "z")
+    zone.set_table("e1", members)
+    await asyncio.sleep(0.05)
+    await zone.wait_until(zone.is_linked)
+    # Connections of the helpers open with the first request.
+    assert_whole(await zone.ask("e1", "first"))
+    return proxies
+
+
+def run_with_proxies(scenario):
+    async def run(zone):
+        proxies = await put_proxies(zone)
+        try:
+            return await scenario(zone, proxies)
+        finally:
+            for proxy in proxies.values():
+                proxy.stop()
+
+    return run_zone(run)
+
+
+def test_one_way_link_costs_no_part():
+    """A helper whose answers do not arrive would keep its slices."""
+
+    async def scenario(zone, proxies):
+        for proxy in proxies.values():
+            proxy.passes["answer"] = False
+        answers = [await zone.ask("e1", f"r{number}") for number in range(2)]
+        copies = zone.upstreams.most_copies("r0")
+        # Its parts run here at once, as no helper has answered since.
+        taken_back = zone.taken_back("e1", "late")
+        await asyncio.sleep(0.7)
+        answers.append(await zone.ask("e1", "r2"))
+        return answers, copies, taken_back, zone.taken_back("e1", "late")
+
+    answers, copies, taken_back, taken_back_later = run_with_proxies(scenario)
+    for answer in answers:
+        assert_whole(answer)
+    assert copies <= 2
+    assert 2 <= taken_back <= 3 and taken_back_later == taken_back
+
+
+def test_lagging_helper_costs_no_part():
+    """Answers that come too late must not count, nor must they be lost."""
+
+    async def scenario(zone, proxies):
+        for proxy in proxies.values():
+            proxy.delay_s = 1.5 * ANSWER_TIMEOUT_S
+        answer = await zone.ask("e1", "r")
+        taken_back = zone.taken_back("e1", "late")
+        for proxy in proxies.values():
+            proxy.delay_s = 0.0
+        await asyncio.sleep(0.8)
+        sent = zone.sent("e1")
+        last = await zone.ask("e1", "last")
+        return zone, answer, taken_back, last, zone.sent("e1") - sent
+
+    zone, answer, taken_back, last, sent = run_with_proxies(scenario)
+    assert_whole(answer)
+    assert 2 <= taken_back <= 3
+    assert zone.upstreams.most_copies("r") <= 2
+    # They have answered since, and their pause is over.
+    assert_whole(last)
+    assert 2 <= sent <= 3
+
+
+def test_leaving_helper_refuses_and_the_parts_run_once():
+    """An entry that stops would drop parts that it accepts."""
+
+    async def scenario(zone):
+        for name in ("e2", "e3", "e4"):
+            zone.entry_by_name[name].delegation.stop_helping()
+        answer = await zone.ask("e1", "r")
+        return zone, answer, zone.taken_back("e1", "refused")
+
+    zone, answer, taken_back = run_zone(scenario)
+    assert_whole(answer)
+    assert 2 <= taken_back <= 3
+    assert zone.upstreams.most_copies("r") == 1
+
+
+def test_members_that_do_not_listen_are_not_used():
+    """An entry of an older build has no listener for links."""
+
+    async def scenario(zone):
+        [port] = free_ports(1)
+        zone.member_by_name["e0"] = Member("e0", "127.0.0.1", port, "z")
+        zone.apply_table()
+        await asyncio.sleep(0.1)
+        answer = await zone.ask("e1", "r")
+        return zone, answer, zone.linked("e1"), zone.sent("e1")
+
+    zone, answer, linked, sent = run_zone(scenario)
+    assert_whole(answer)
+    assert linked == {"e2", "e3", "e4"} and sent >= 2
+    assert zone.upstreams.most_copies("r") == 1
+
+
+def test_entries_with_different_member_tables_run_each_part():
+    """Tables reach entries at different times, so helpers may differ."""
+
+    async def scenario(zone):
+        members = dict(zone.member_by_name)
+        del members["e4"]
+        zone.set_table("e1", members)
+        await zone.wait_until(lambda: "e4" not in zone.linked("e1"))
+        answers = await asyncio.gather(
+            *[zone.ask(name, f"r-{name}") for name in ("e1", "e2", "e4")]
+        )
+        return zone, answers
+
+    zone, answers = run_zone(scenario)
+    for name, answer in zip(("e1", "e2", "e4"), answers, strict=True):
+        assert_whole(answer)
+        assert zone.upstreams.most_copies(f"r-{name}") == 1
+
+
+def test_services_unknown_to_a_helper_run_at_the_first_entry():
+    """A helper may have an older plan, which lacks a service."""
+
+    async def scenario(zone):
+        for name in ("e2", "e3", "e4"):
+            pool_keys = zone.entry_by_name[name].router.routing.pool_keys
+            pool_keys.remove(("s07", ""))
+        return zone, await zone.ask("e1", "r")
+
+    zone, answer = run_zone(scenario)
+    assert_whole(answer)
+    assert zone.upstreams.most_copies("r") == 1
+
+
+def pending_parts(zone, name):
+    return len(zone.entry_by_name[name].router.routing.pending_by_part)
+
+
+async def ask_slowly(zone):
+    """Start a request whose parts run at helpers, and return its task."""
+    zone.upstreams.delay_s = 3.0
+    caller_gone = asyncio.Event()
+    asking = asyncio.ensure_future(zone.ask("e1", "r", caller_gone))
+    helper = await first_helper(zone)
+    await zone.wait_until(lambda: pending_parts(zone, helper))
+    return asking, helper, caller_gone
+
+
+def test_helper_drops_the_parts_of_a_first_entry_that_died():
+    """Parts that nobody waits for would take slots of upstreams."""
+
+    async def scenario(zone):
+        asking, helper, _ = await ask_slowly(zone)
+        zone.kill_entry("e1")
+        await zone.wait_until(lambda: not pending_parts(zone, helper))
+        elapsed_parts = len(zone.upstreams.started["r"])
+        asking.cancel()
+        return elapsed_parts
+
+    assert run_zone(scenario) > 0
+
+
+def test_helper_drops_the_parts_of_a_caller_that_left():
+    """The drop must reach the helper at once, not at its time-out."""
+
+    async def scenario(zone):
+        asking, helper, caller_gone = await ask_slowly(zone)
+        started_at = time.monotonic()
+        caller_gone.set()
+        await asking
+        await zone.wait_until(lambda: not pending_parts(zone, helper))
+        return time.monotonic() - started_at
+
+    assert run_zone(scenario) < 1.0
+
+
+def test_undivided_requests_and_resent_parts_stay_here():
+    """A target that leaves enough time is not worth the frames."""
+
+    async def scenario(zone):
+        answer = await zone.ask("e1", "r")
+        return answer, zone.sent("e1")
+
+    answer, sent = run_zone(scenario, **{"target-latency-ms": 4000})
+    assert_whole(answer)
+    assert sent == 0
+
+
+def test_routes_that_are_not_idempotent_are_not_divided():
+    """A part that was taken back could run twice."""
+
+    async def scenario(zone):
+        answer = await zone.ask("e1", "r")
+        return answer, zone.sent("e1")
+
+    answer, sent = run_zone(scenario, **{"route-type": "non_idempotent"})
+    assert_whole(answer)
+    assert sent == 0
--- a/berylspool/platform/tests/zone.py
+++ b/berylspool/platform/tests/zone.py
@@ -6,6 +6,7 @@
 import time
 from unittest import mock
 
+from berylspool.connection.control_message import ExtraCopies
 from berylspool.connection.message import Member, MemberTable
 from berylspool.platform.document import decode_plan
 from berylspool.platform.tests.test_forwarding import (
@@ -127,6 +128,14 @@
     )
 
 
+async def lend_copies(forwarder):
+    """Lend extra copies, as the leader of control does."""
+    while True:
+        messages = await forwarder.control.inbox.take()
+        wanted = [m for m in messages if isinstance(m, ExtraCopies)]
+        forwarder.router.receive_loans(tuple(wanted))
+
+
 class Zone:
     """Entries of one zone.
 
@@ -157,6 +166,7 @@
         self.tasks_by_name[name] = [
             asyncio.ensure_future(forwarder.router.run()),
             asyncio.ensure_future(forwarder.delegation.run()),
+            asyncio.ensure_future(lend_copies(forwarder)),
         ]
         forwarder.router.inbox.put(PERMANENT_LEASE)
         apply_plan(forwarder, self.listing, SERVICES, **changes)
--- a/berylspool/process/entry/delegation/division.py
+++ b/berylspool/process/entry/delegation/division.py
@@ -152,11 +152,17 @@
 
 
 def members_by_zone(members: Iterable[Member]) -> dict[str, frozenset[str]]:
-    """Return the names of the members in each zone that is known."""
+    """Return the names of the members in each zone.
+
+    An entry of an older build states no zone, and keeps its former share of
+    the limits.  While there is one, the result is empty, so that none owns a
+    service and all shares are the former ones.
+    """
     names_by_zone: dict[str, set[str]] = {}
     for member in members:
-        if member.zone:
-            names_by_zone.setdefault(member.zone, set()).add(member.name)
+        names_by_zone.setdefault(member.zone, set()).add(member.name)
+    if "" in names_by_zone:
+        return {}
     return {zone: frozenset(names) for zone, names in names_by_zone.items()}
 
 
--- a/berylspool/process/entry/delegation/tests/test_division.py
+++ b/berylspool/process/entry/delegation/tests/test_division.py
@@ -170,6 +170,12 @@
     assert set(small.owners_by_service.values()) == {1}
 
 
+def test_nothing_is_owned_while_an_older_build_is_a_member():
+    members = [Member(f"e{n}", "127.0.0.1", 1, "a") for n in range(5)]
+    assert members_by_zone(members) == {"a": {f"e{n}" for n in range(5)}}
+    assert members_by_zone([*members, Member("old", "127.0.0.1", 1)]) == {}
+
+
 def test_services_that_are_not_divided_keep_their_limits():
     plan = make_plan(SERVICES[:3])
     names_by_zone = make_names("abc")
--- a/berylspool/process/entry/forwarding/forwarding_state.py
+++ b/berylspool/process/entry/forwarding/forwarding_state.py
@@ -164,8 +164,9 @@
             names_by_zone: Names of the entries in each zone.
             name: Name of this entry.
         """
+        self._name = name
         if names_by_zone != self._names_by_zone:
-            self._names_by_zone, self._name = names_by_zone, name
+            self._names_by_zone = names_by_zone
             self._schedule_refresh()
 
     def _find_ownership(self, plan: ForwardPlan) -> Ownership:
