--- a/berylspool/platform/tests/test_division.py
+++ b/berylspool/platform/tests/test_division.py
@@ -40,6 +40,20 @@
     assert len(names) >= 2
 
 
+def test_helpers_hold_no_log_lines_of_parts_that_have_ended():
+    """They would be held, and then counted as dropped, for ever."""
+
+    async def scenario(zone):
+        await zone.ask("e1", "r")
+        return [
+            forwarder.log._held_lines.count
+            for name, forwarder in zone.entry_by_name.items()
+            if name != "e1"
+        ]
+
+    assert run_zone(scenario) == [0, 0, 0]
+
+
 def test_all_entries_choose_the_same_helpers():
     async def scenario(zone):
         for name in list(zone.entry_by_name):
--- a/berylspool/process/entry/delegation/delegation.py
+++ b/berylspool/process/entry/delegation/delegation.py
@@ -69,6 +69,7 @@
         self.helper = Helper(
             router,
             self._monitor.was_frozen,
+            clock=clock,
             log=log,
             metrics=metrics,
             ping_s=PING_INTERVAL_S,
--- a/berylspool/process/entry/delegation/helper.py
+++ b/berylspool/process/entry/delegation/helper.py
@@ -1,12 +1,13 @@
 """The side of an entry that runs parts for other entries of its zone."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
-from berylspool.common.event import Event, LinkChanged
+from berylspool.common.event import Event, LinkChanged, RequestServed
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics, increment_counter
+from berylspool.common.request_event import RequestEnded
 from berylspool.connection.message import (
     RunSlice,
     SliceAccepted,
@@ -29,12 +30,20 @@
     Subscribe,
     Unsubscribe,
 )
-from berylspool.request.query import Part, PartRefused, PartResult, Reason
+from berylspool.request.query import (
+    Part,
+    PartFailed,
+    PartRefused,
+    PartResult,
+    PartRows,
+    Reason,
+)
 
 __all__ = ["Helper"]
 
 # The first entry runs the part itself.
 NO_WAIT_S = 0.0
+MS_PER_S = 1000.0
 
 
 @dataclass(slots=True)
@@ -44,13 +53,29 @@
     Attributes:
         id: Number of the slice at the first entry.
         session: Session of the first entry.
+        name: Name of the slice, which begins with the id of the request.
         place_by_part: Position and part of each part without a result, by
             part id.
+        route: Route of the request.
+        partition: Number of the plan that the request is pinned to.
+        target_s: Target latency of the route, in seconds.
+        started_at: Time of its arrival, in monotonic seconds.
+        copies: Number of copies sent for the parts with an answer.
+        last: Service that answered last.
+        reason_by_service: Reason of each part without an answer.
     """
 
     id: int
     session: Session
+    name: str
     place_by_part: dict[str, tuple[int, Part]]
+    route: str
+    partition: int
+    target_s: float
+    started_at: float
+    copies: int = 0
+    last: str = ""
+    reason_by_service: dict[str, str] = field(default_factory=dict)
 
 
 class _SliceInbox(Mailbox[Any]):
@@ -71,6 +96,7 @@
     Args:
         router: Router of the entry.
         was_frozen: Returns whether a message that is read now is likely old.
+        clock: Returns the monotonic time in seconds.
         log: Called with each log event.
         metrics: Metrics of the process.
         ping_s: Time after which an idle link carries a `Ping`, in seconds.
@@ -85,6 +111,7 @@
         router: Router,
         was_frozen: Callable[[], bool],
         *,
+        clock: Callable[[], float],
         log: Callable[[Event], None],
         metrics: Metrics,
         ping_s: float,
@@ -98,6 +125,7 @@
         self.is_stopping = False
         self._router = router
         self._was_frozen = was_frozen
+        self._clock = clock
         self._log = log
         self._metrics = metrics
         self._slice_by_key: dict[tuple[str, int], _RunningSlice] = {}
@@ -121,11 +149,17 @@
             self._count("refused")
             return
         session.inbox.put(SliceAccepted(message.id))
-        parts = decode_slice(message, f"{session.id}.{message.id}")
+        name = f"{message.request_id}@{session.id}.{message.id}"
+        parts = decode_slice(message, name)
         slice = _RunningSlice(
             message.id,
             session,
+            name,
             {part.id: (index, part) for index, part in enumerate(parts)},
+            message.route,
+            message.partition,
+            message.forward.target_latency_s,
+            self._clock(),
         )
         self._slice_by_key[key] = slice
         self._count("accepted")
@@ -133,7 +167,7 @@
         if len(known) < len(parts):
             self._refuse_unknown(key, slice, parts)
         if known:
-            origin = Origin(_origin_id(key))
+            origin = Origin(name)
             inbox = _SliceInbox(lambda results: self._send(key, results))
             self._router.inbox.put(Subscribe(origin.id, inbox))
             self._router.inbox.put(RunParts(origin, known))
@@ -163,6 +197,7 @@
             place = slice.place_by_part.pop(result.part_id, None)
             if place is not None:
                 placed.append((*place, result))
+                _record(slice, place[1], result)
         if placed:
             slice.session.inbox.put(encode_results(slice.id, placed))
         if not slice.place_by_part:
@@ -172,13 +207,36 @@
         slice = self._slice_by_key.get(key)
         if slice is None:
             return
-        self._forget(key)
-        for part_id in slice.place_by_part:
+        for part_id, (_, part) in slice.place_by_part.items():
             self._router.inbox.put(DiscardPart(part_id, is_caller_gone))
+            slice.reason_by_service[part.service] = Reason.CANCELLED.value
+        self._forget(key)
 
     def _forget(self, key: tuple[str, int]) -> None:
-        del self._slice_by_key[key]
-        self._router.inbox.put(Unsubscribe(_origin_id(key)))
+        slice = self._slice_by_key.pop(key)
+        self._router.inbox.put(Unsubscribe(slice.name))
+        self._log_end(slice)
+
+    def _log_end(self, slice: _RunningSlice) -> None:
+        """Log the end of a slice, with which the lines of its parts end."""
+        latency_s = self._clock() - slice.started_at
+        is_late = latency_s > slice.target_s > 0
+        if not slice.reason_by_service and not is_late:
+            self._log(RequestServed(slice.name))
+            return
+        self._log(
+            RequestEnded(
+                slice.name,
+                slice.route,
+                slice.partition,
+                "",
+                "slice",
+                slice.reason_by_service,
+                slice.last,
+                slice.copies,
+                round(latency_s * MS_PER_S, 1),
+            )
+        )
 
     def _handle_session_end(
         self, session: Session, error: ProtocolError | None
@@ -193,7 +251,11 @@
         increment_counter(self._metrics, name, outcome=outcome)
 
 
-def _origin_id(key: tuple[str, int]) -> str:
-    """Return the id of a slice among the requests of this entry."""
-    session_id, slice_id = key
-    return f"slice {session_id}.{slice_id}"
+def _record(slice: _RunningSlice, part: Part, result: PartResult) -> None:
+    """Note the result of a part, for the log."""
+    match result:
+        case PartRows(attempts=attempts):
+            slice.copies += attempts
+            slice.last = part.service
+        case PartRefused(reason=reason) | PartFailed(reason=reason):
+            slice.reason_by_service[part.service] = reason.value
--- a/berylspool/process/entry/delegation/slice_codec.py
+++ b/berylspool/process/entry/delegation/slice_codec.py
@@ -59,17 +59,18 @@
     )
 
 
-def decode_slice(message: RunSlice, prefix: str) -> list[Part]:
+def decode_slice(message: RunSlice, name: str) -> list[Part]:
     """Return the parts of a slice; they share one `Forward` object.
 
     Args:
         message: Message of the first entry.
-        prefix: Text that is unique to the slice, for the ids of the parts.
+        name: Name of the slice, unique in this process; ids of parts begin
+            with it, as do log lines about them.
     """
     forward = replace(message.forward, attempts=message.attempts)
     return [
         Part(
-            id=f"{message.request_id}/{prefix}.{shard}.{index}",
+            id=f"{name}/{shard}.{index}",
             request_id=message.request_id,
             service=service,
             shard=shard,
