--- a/berylspool/connection/message.py
+++ b/berylspool/connection/message.py
@@ -176,7 +176,7 @@
             no upstream has run.
         failed: Position, reason and copies sent of each part that an upstream
             may have run.
-        response: Error response of an upstream to the last failed part, if
+        response: Error response of an upstream to one of the failed parts, if
             there was one.
     """
 
--- a/berylspool/platform/tests/test_division.py
+++ b/berylspool/platform/tests/test_division.py
@@ -65,6 +65,31 @@
     assert sorted(accepted.values()) == [0, 3, 3, 3]
 
 
+def test_helpers_own_the_services_of_their_slices():
+    """Connections and copies in even shares are too few for the helpers."""
+
+    async def scenario(zone):
+        await zone.ask("e1", "r")
+        owners = dict.fromkeys(SERVICES, 0)
+        for forwarder in zone.entry_by_name.values():
+            configuration = forwarder.router.routing.configuration
+            for name, service in configuration.service_by_name.items():
+                limits = service.limits
+                is_owner = limits.extra_copies > 0
+                owners[name] += is_owner
+                assert (limits.connections == 3) is is_owner
+        # Those that have run its part own the service.
+        for name, forwarder in zone.entry_by_name.items():
+            if zone.accepted(name):
+                configuration = forwarder.router.routing.configuration
+                services = configuration.service_by_name.values()
+                owned = [s for s in services if s.limits.extra_copies > 0]
+                assert len(owned) == len(SERVICES) / 3
+        return owners
+
+    assert set(run_zone(scenario).values()) == {1}
+
+
 def test_killed_helper_loses_no_part():
     """A helper that dies after accepting would take its slice with it."""
 
--- a/berylspool/process/entry/delegation/slice_codec.py
+++ b/berylspool/process/entry/delegation/slice_codec.py
@@ -110,7 +110,7 @@
                 refused.append((index, reason.value, retry_after_s))
             case PartFailed(reason=reason, attempts=attempts):
                 failed.append((index, reason.value, attempts))
-                response = _within_limit(result.response)
+                response = _within_limit(result.response) or response
     return SliceResults(
         id, tuple(rows), tuple(refused), tuple(failed), response
     )
@@ -141,7 +141,10 @@
 def decode_failure(
     part: Part, failed: tuple[int, str, int], message: SliceResults
 ) -> PartFailed:
-    """Return the failure of a part, the last one with the error response."""
+    """Return the failure of a part; the last one has the error response.
+
+    A request passes on one error response at most, whichever part it is of.
+    """
     index, reason, attempts = failed
     is_last = index == message.failed[-1][0]
     response = message.response if is_last else None
