--- a/berylspool/platform/tests/test_division.py
+++ b/berylspool/platform/tests/test_division.py
@@ -3,12 +3,16 @@
 import asyncio
 import time
 
+import pytest
+
 from berylspool.connection.message import Member
 from berylspool.platform.tests.test_forwarding import make_records
 from berylspool.platform.tests.zone import (
     ANSWER_TIMEOUT_S,
+    PROCESSOR_SHARE,
     SERVICES,
     Proxy,
+    make_entry,
     run_zone,
 )
 from berylspool.request.query import Answer
@@ -318,3 +322,53 @@
     answer, sent = run_zone(scenario, **{"route-type": "non_idempotent"})
     assert_whole(answer)
     assert sent == 0
+
+
+class IdleListener:
+    def listen(self, _address):
+        pass
+
+    def stop_listening(self):
+        pass
+
+    async def close(self):
+        pass
+
+
+@pytest.mark.parametrize("share", [0.0, PROCESSOR_SHARE])
+def test_entry_listens_for_links_only_if_it_may_divide(share):
+    """Other deployments behave as before, down to their open ports."""
+
+    async def connect():
+        port, peer_port = free_ports(2)
+        forwarder = make_entry("e1", port, peer_port, share)
+        forwarder.caller_listener = IdleListener()
+        running = asyncio.ensure_future(forwarder.run())
+        try:
+            await asyncio.sleep(0.1)
+            _, writer = await asyncio.open_connection("127.0.0.1", peer_port)
+            writer.close()
+            return True
+        except ConnectionRefusedError:
+            return False
+        finally:
+            running.cancel()
+            for task in forwarder._tasks:
+                task.cancel()
+            await asyncio.gather(*forwarder._tasks, return_exceptions=True)
+
+    assert asyncio.run(connect()) is bool(share)
+
+
+def test_port_that_is_in_use_does_not_end_the_entry():
+    """It still answers callers, and divides their requests."""
+
+    async def scenario(zone):
+        second = make_entry("e5", 1, zone.member_by_name["e4"].port)
+        running = asyncio.ensure_future(second.delegation.run())
+        await asyncio.sleep(0.05)
+        is_running = not running.done()
+        running.cancel()
+        return is_running
+
+    assert run_zone(scenario)
--- a/berylspool/platform/tests/test_settings.py
+++ b/berylspool/platform/tests/test_settings.py
@@ -7,6 +7,7 @@
     MIN_MEMORY_MB,
     read_settings,
     to_memory_limits,
+    to_settings,
 )
 from berylspool.process.settings import MemoryLimits
 
@@ -36,3 +37,15 @@
     fields = SETTINGS if limits is None else {**SETTINGS, "limits": limits}
     path.write_bytes(orjson.dumps(fields))
     assert to_memory_limits(read_settings(path)).megabytes == megabytes
+
+
+@pytest.mark.parametrize(
+    ("limits", "share"),
+    [({"cpu-share": 0.516}, 0.516), ({"memory-mb": 200}, 0.0), (None, 0.0)],
+)
+def test_share_of_a_core_is_read_from_the_limits(tmp_path, limits, share):
+    """Without it, an entry cannot know which requests to divide."""
+    path = tmp_path / "settings.json"
+    fields = SETTINGS if limits is None else {**SETTINGS, "limits": limits}
+    path.write_bytes(orjson.dumps(fields))
+    assert to_settings(read_settings(path)).routing.processor_share == share
