--- a/berylspool/platform/tests/test_division.py
+++ b/berylspool/platform/tests/test_division.py
@@ -208,6 +208,54 @@
     assert zone.upstreams.most_copies("r") == 1
 
 
+def test_helper_that_leaves_finishes_what_it_has_accepted():
+    """Its parts would run once more, as extra copies."""
+
+    async def scenario(zone):
+        zone.upstreams.delay_s = 0.4
+        asking = asyncio.ensure_future(zone.ask("e1", "r"))
+        helper = await first_helper(zone)
+        await zone.wait_until(lambda: len(zone.upstreams.started["r"]) == 45)
+        # It stops, and control takes it out of the table.
+        zone.entry_by_name[helper].delegation.stop_helping()
+        members = dict(zone.member_by_name)
+        del members[helper]
+        zone.set_table("e1", members)
+        await zone.wait_until(lambda: helper not in zone.linked("e1"))
+        answer = await asking
+        delegator = zone.entry_by_name["e1"].delegation.delegator
+        await zone.wait_until(lambda: helper not in delegator._inbox_by_helper)
+        return zone, answer, zone.taken_back("e1", "link_lost")
+
+    zone, answer, taken_back = run_zone(scenario)
+    assert_whole(answer)
+    assert taken_back == 0
+    assert zone.upstreams.most_copies("r") == 1
+
+
+def test_least_coverage_is_answered_at_the_target_and_the_rest_dropped():
+    """The drop of a thin answer must reach helpers as that of a caller."""
+
+    async def scenario(zone):
+        respond_slowly = zone.upstreams.slow_services
+        respond_slowly |= set(SERVICES[::3])
+        started_at = time.monotonic()
+        answer = await zone.ask("e1", "r")
+        elapsed_s = time.monotonic() - started_at
+        await zone.wait_until(
+            lambda: (
+                not any(
+                    pending_parts(zone, name) for name in zone.entry_by_name
+                )
+            )
+        )
+        return answer, elapsed_s, time.monotonic() - started_at
+
+    answer, elapsed_s, until_dropped_s = run_zone(scenario)
+    assert answer.coverage.answered == 30
+    assert elapsed_s < 2.5 and until_dropped_s < 3.0
+
+
 def test_members_that_do_not_listen_are_not_used():
     """An entry of an older build has no listener for links."""
 
--- a/berylspool/platform/tests/test_frozen_helper.py
+++ b/berylspool/platform/tests/test_frozen_helper.py
@@ -9,14 +9,17 @@
 
 from berylspool.connection.message import Member
 from berylspool.platform.tests.test_division import assert_whole
-from berylspool.platform.tests.zone import ANSWER_TIMEOUT_S, run_zone
+from berylspool.platform.tests.zone import (
+    ANSWER_TIMEOUT_S,
+    FOREVER_S,
+    run_zone,
+)
 from berylspool.tests.cluster import free_ports
 
 HELPERS = ("p1", "p2", "p3")
 MODULE = "berylspool.platform.tests.helper_process"
 # Enough to read what has arrived, and to send what must not be sent.
 AFTER_WAKE_UP_S = 0.6
-FOREVER_S = 60.0
 
 
 async def start_helper(zone, name):
--- a/berylspool/platform/tests/test_remote_part_cost.py
+++ b/berylspool/platform/tests/test_remote_part_cost.py
@@ -5,7 +5,7 @@
 import msgpack
 
 from berylspool.common.frame import HEADER_BYTES
-from berylspool.connection.message import make_delegation_codec
+from berylspool.connection.message import Member, make_delegation_codec
 from berylspool.platform.tests.instant_upstreams import (
     InstantLoop,
     ask,
@@ -76,6 +76,9 @@
     delegator = forwarder.delegation.delegator
     task = asyncio.ensure_future(delegator.run())
     helpers = [InstantHelper(name, delegator) for name in HELPERS]
+    delegator._members = frozenset(
+        Member(name, "127.0.0.1", 1) for name in HELPERS
+    )
     for helper in helpers:
         delegator._inbox_by_helper[helper.name] = helper
         delegator.inbox.put(HelperLinked(helper.name))
--- a/berylspool/platform/tests/zone.py
+++ b/berylspool/platform/tests/zone.py
@@ -35,6 +35,7 @@
 from berylspool.version.listing import Listing
 
 WAIT_TIMEOUT_S = 10.0
+FOREVER_S = 60.0
 DEADLINE_S = 5.0
 # All entries and upstreams share one event loop and a busy machine, so that an
 # entry is given more time to answer, and the route a longer target.
@@ -52,11 +53,13 @@
 
     Attributes:
         delay_s: Time until each answers, in seconds.
+        slow_services: Services whose upstreams do not answer.
         started: Services of each request that began to run, by request id.
     """
 
     def __init__(self):
         self.delay_s = 0.0
+        self.slow_services = set()
         self.started = collections.defaultdict(list)
         self.upstreams = []
 
@@ -73,7 +76,8 @@
         async def respond(head, _body):
             request_id = header_value(head, "x-request-id")
             self.started[request_id].append(service)
-            await asyncio.sleep(self.delay_s)
+            is_slow = service in self.slow_services
+            await asyncio.sleep(FOREVER_S if is_slow else self.delay_s)
             return signed_response(
                 head, make_records(int(service[1:])), f"s.{service}"
             )
--- a/berylspool/process/entry/delegation/delegator.py
+++ b/berylspool/process/entry/delegation/delegator.py
@@ -133,6 +133,7 @@
     Attributes:
         inbox: Receives the messages of requests that are to be divided.
         linked: Names of the other entries of the zone whose link is open.
+            An entry that leaves is none of them.
     """
 
     def __init__(
@@ -146,7 +147,7 @@
         ping_s: float,
     ) -> None:
         self.inbox: Mailbox[DelegatorMessage] = Mailbox()
-        self.linked: set[str] = set()
+        self.linked: frozenset[str] = frozenset()
         self._name = name
         self._router = router
         self._clock = clock
@@ -160,6 +161,10 @@
         self._second_runs: set[str] = set()
         self._inbox_by_helper: dict[str, Mailbox[Any]] = {}
         self._helpers_by_count: dict[int, tuple[str, ...]] = {}
+        self._members: frozenset[Member] = frozenset()
+        # Those that have left the table, and still have a link.
+        self._former_members: set[Member] = set()
+        self._open_links: set[str] = set()
 
     @property
     def has_helpers(self) -> bool:
@@ -176,6 +181,7 @@
                     wait_s if wait_s < float("inf") else None
                 )
                 self._handle_all(messages)
+                self._close_unused_links()
         finally:
             for task in self._task_by_member.values():
                 task.cancel()
@@ -205,10 +211,12 @@
                 case MembersChanged(members=members):
                     self._update_links(members)
                 case HelperLinked(helper=helper):
-                    self._set_linked(helper, is_linked=True)
+                    self._open_links.add(helper)
+                    self._update_linked()
                     self._step(message)
                 case HelperLost(helper=helper):
-                    self._set_linked(helper, is_linked=False)
+                    self._open_links.discard(helper)
+                    self._update_linked()
                     if helper in self._inbox_by_helper:
                         # What was put since must not be sent later.
                         self._inbox_by_helper[helper].clear()
@@ -292,16 +300,38 @@
         increment_counter(self._metrics, name, outcome=outcome)
 
     def _update_links(self, members: tuple[Member, ...]) -> None:
-        """Open and close links so that they match the other entries."""
-        for member in self._link_by_member.keys() - set(members):
-            del self._link_by_member[member]
-            self._task_by_member.pop(member).cancel()
-            del self._inbox_by_helper[member.name]
-            self._set_linked(member.name, is_linked=False)
-            self._step(HelperLost(member.name))
+        """Open links to new members, and use those of former ones no more.
+
+        An entry that leaves finishes the slices that it has accepted, so its
+        link stays open until they have ended.
+        """
+        self._members = frozenset(members)
+        self._former_members = self._link_by_member.keys() - self._members
+        self._close_unused_links()
         for member in members:
             if member not in self._link_by_member:
+                self._close_links_to(member.name)
                 self._open_link(member)
+        self._update_linked()
+
+    def _close_unused_links(self) -> None:
+        if not self._former_members:
+            return
+        used = {slice.helper for slice in self._slices.slice_by_id.values()}
+        for member in list(self._former_members):
+            if member.name not in used:
+                self._close_links_to(member.name)
+
+    def _close_links_to(self, name: str) -> None:
+        """Close the link to an entry, at whichever address."""
+        for member in [m for m in self._link_by_member if m.name == name]:
+            del self._link_by_member[member]
+            self._former_members.discard(member)
+            self._task_by_member.pop(member).cancel()
+            del self._inbox_by_helper[name]
+            self._open_links.discard(name)
+            self._update_linked()
+            self._step(HelperLost(name))
 
     def _open_link(self, member: Member) -> None:
         name = member.name
@@ -324,15 +354,17 @@
             case SliceAccepted() | SliceRefused() | SliceResults():
                 self.inbox.put(HelperAnswered(helper, message))
 
-    def _set_linked(self, helper: str, *, is_linked: bool) -> None:
-        if (helper in self.linked) is is_linked:
-            return
-        if is_linked and helper not in self._inbox_by_helper:
-            # The link was closed since it opened.
-            return
-        self._log(LinkChanged(helper, "up" if is_linked else "down"))
-        (self.linked.add if is_linked else self.linked.discard)(helper)
-        self._helpers_by_count.clear()
+    def _update_linked(self) -> None:
+        """Update the entries that may run slices."""
+        names = {member.name for member in self._members}
+        linked = frozenset(
+            self._open_links & names & set(self._inbox_by_helper)
+        )
+        for name in linked ^ self.linked:
+            self._log(LinkChanged(name, "up" if name in linked else "down"))
+        if linked != self.linked:
+            self.linked = linked
+            self._helpers_by_count.clear()
 
 
 def _second_run_id(request_id: str) -> str:
