--- a/berylspool/process/entry/delegation/delegator.py
+++ b/berylspool/process/entry/delegation/delegator.py
@@ -39,11 +39,11 @@
     SliceEvent,
     SlicesDue,
 )
-from berylspool.process.entry.delegation.slices import (
+from berylspool.process.entry.delegation.slice_state import (
     Slices,
     next_due_at,
-    step,
 )
+from berylspool.process.entry.delegation.slices import step
 from berylspool.request.part_message import (
     DiscardPart,
     Origin,
--- a/berylspool/process/entry/delegation/helper.py
+++ b/berylspool/process/entry/delegation/helper.py
@@ -46,6 +46,11 @@
 NO_WAIT_S = 0.0
 # About a millisecond of a whole core.
 PARTS_PER_TURN = 5
+# Until its target, the first entry waits for all parts, so answers may wait for
+# the others of their slice: a frame costs as much as running a part. Those so
+# far are sent at these shares of the target, to show that the helper runs and
+# before the target; later ones are sent at once.
+FLUSH_SHARES = (0.35, 0.7)
 MS_PER_S = 1000.0
 
 
@@ -66,6 +71,8 @@
         copies: Number of copies sent for the parts with an answer.
         last: Service that answered last.
         reason_by_service: Reason of each part without an answer.
+        held: Position, part and result of each part whose result is not sent.
+        timers: Timers at which held results are sent.
     """
 
     id: int
@@ -79,6 +86,8 @@
     copies: int = 0
     last: str = ""
     reason_by_service: dict[str, str] = field(default_factory=dict)
+    held: list[tuple[int, Part, PartResult]] = field(default_factory=list)
+    timers: list[asyncio.TimerHandle] = field(default_factory=list)
 
 
 class _SliceInbox(Mailbox[Any]):
@@ -161,10 +170,15 @@
             {part.id: (index, part) for index, part in enumerate(parts)},
             message.route,
             message.partition,
-            message.forward.target_latency_s,
+            min(message.forward.target_latency_s, message.timeout_s),
             self._clock(),
         )
         self._slice_by_key[key] = slice
+        loop = asyncio.get_running_loop()
+        slice.timers = [
+            loop.call_later(share * slice.target_s, self._flush, key)
+            for share in FLUSH_SHARES
+        ]
         self._count("accepted")
         known = [part for part in parts if self._has_pool(part)]
         if len(known) < len(parts):
@@ -173,7 +187,6 @@
             origin = Origin(name)
             inbox = _SliceInbox(lambda results: self._send(key, results))
             self._router.inbox.put(Subscribe(origin.id, inbox))
-            loop = asyncio.get_running_loop()
             loop.call_soon(self._run_some, key, origin, known)
 
     def _run_some(
@@ -212,17 +225,39 @@
         slice = self._slice_by_key.get(key)
         if slice is None:
             return
-        placed = []
         for result in results:
             place = slice.place_by_part.pop(result.part_id, None)
             if place is not None:
-                placed.append((*place, result))
+                slice.held.append((*place, result))
                 _record(slice, place[1], result)
-        if placed:
-            slice.session.inbox.put(encode_results(slice.id, placed))
+        if self._must_send(slice, results):
+            self._flush(key)
         if not slice.place_by_part:
             self._forget(key)
 
+    def _must_send(
+        self, slice: _RunningSlice, results: list[PartResult]
+    ) -> bool:
+        """Return whether results are of use to the first entry at once.
+
+        It decides early on parts without an answer.
+        """
+        if not slice.place_by_part:
+            return True
+        if (
+            self._clock()
+            >= slice.started_at + FLUSH_SHARES[-1] * slice.target_s
+        ):
+            return True
+        return not all(isinstance(result, PartRows) for result in results)
+
+    def _flush(self, key: tuple[str, int]) -> None:
+        """Send the results that are held."""
+        slice = self._slice_by_key.get(key)
+        if slice is not None and slice.held:
+            held, slice.held = slice.held, []
+            slice.session.inbox.put(encode_results(slice.id, held))
+
     def _drop(self, key: tuple[str, int], is_caller_gone: bool) -> None:
         slice = self._slice_by_key.get(key)
         if slice is None:
@@ -234,6 +269,8 @@
 
     def _forget(self, key: tuple[str, int]) -> None:
         slice = self._slice_by_key.pop(key)
+        for timer in slice.timers:
+            timer.cancel()
         self._router.inbox.put(Unsubscribe(slice.name))
         self._log_end(slice)
 
--- a/berylspool/process/entry/delegation/slices.py
+++ b/berylspool/process/entry/delegation/slices.py
@@ -7,7 +7,7 @@
 """
 
 import heapq
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from berylspool.common.request_event import HelperSuspended, SliceTakenBack
 from berylspool.connection.message import (
@@ -46,6 +46,13 @@
     SliceEvent,
     SlicesDue,
 )
+from berylspool.process.entry.delegation.slice_state import (
+    Slice,
+    Slices,
+    next_due_at,
+    set_due,
+    target_s,
+)
 from berylspool.request.query import (
     Part,
     PartFailed,
@@ -54,12 +61,15 @@
     Reason,
 )
 
-__all__ = ["Slice", "Slices", "next_due_at", "step"]
+__all__ = ["step"]
 
 # A frame takes 0.2 ms within a zone, and a turn of a busy entry some 5 ms.
 ANSWER_TIMEOUT_S = 0.01
 # After half of the target, a part that starts here may still answer in time.
 GIVE_UP_SHARE = 0.5
+# Helpers send what they have at 0.35 of the target, so that they need not be
+# asked.
+HEARD_SHARE = 0.3
 # One upstream has got the part, or may have.
 ATTEMPTS_LEFT = 1
 # The helper lacks what the first entry has, such as a newer plan, or stops.
@@ -75,54 +85,6 @@
 RESENT_REASONS = frozenset({Reason.NO_OWNER, Reason.SHUTTING_DOWN})
 
 
-@dataclass(slots=True)
-class Slice:
-    """Parts that a helper runs.
-
-    Attributes:
-        id: Number of the slice.
-        helper: Name of the helper.
-        request_id: Id of the request.
-        pending_by_index: Parts without a result, by their position.
-        sent_at: Time of sending, monotonic seconds.
-        is_accepted: Whether the helper has accepted it.
-        is_probed: Whether the helper was asked whether it still runs it.
-        due_at: Time at which an answer is overdue, or the helper is to be
-            asked, monotonic seconds; infinite for none.
-    """
-
-    id: int
-    helper: str
-    request_id: str
-    pending_by_index: dict[int, Part]
-    sent_at: float
-    is_accepted: bool = False
-    is_probed: bool = False
-    due_at: float = float("inf")
-
-
-@dataclass(slots=True)
-class Slices:
-    """State of all slices that helpers run for this entry.
-
-    Attributes:
-        slice_by_id: Slices with a part without a result.
-        place_by_part: Slice and position of each such part, by part id.
-        ids_by_request: Slices of each request.
-        health_by_helper: What was learnt of each helper.
-        due: Heap of (time, slice id); entries that differ from `due_at` of
-            the slice are stale.
-        last_id: Number of the latest slice.
-    """
-
-    slice_by_id: dict[int, Slice] = field(default_factory=dict)
-    place_by_part: dict[str, tuple[Slice, int]] = field(default_factory=dict)
-    ids_by_request: dict[str, set[int]] = field(default_factory=dict)
-    health_by_helper: dict[str, HelperHealth] = field(default_factory=dict)
-    due: list[tuple[float, int]] = field(default_factory=list)
-    last_id: int = 0
-
-
 def step(slices: Slices, event: SliceEvent, now: float) -> list[SliceAction]:
     """Apply one event.
 
@@ -162,17 +124,6 @@
             return _run_due(slices, now)
 
 
-def next_due_at(slices: Slices) -> float:
-    """Return when `SlicesDue` is needed next, in monotonic seconds."""
-    while slices.due:
-        due_at, id = slices.due[0]
-        slice = slices.slice_by_id.get(id)
-        if slice is not None and slice.due_at == due_at:
-            return due_at
-        heapq.heappop(slices.due)
-    return float("inf")
-
-
 def _health(slices: Slices, helper: str) -> HelperHealth:
     return slices.health_by_helper.setdefault(helper, HelperHealth())
 
@@ -192,16 +143,10 @@
     slices.place_by_part.update(
         {part.id: (slice, index) for index, part in enumerate(parts)}
     )
-    _set_due(slices, slice, now + ANSWER_TIMEOUT_S)
+    set_due(slices, slice, now + ANSWER_TIMEOUT_S)
     return [SendToHelper(helper, encode_slice(slice.id, parts))]
 
 
-def _set_due(slices: Slices, slice: Slice, due_at: float) -> None:
-    slice.due_at = due_at
-    if due_at < float("inf"):
-        heapq.heappush(slices.due, (due_at, slice.id))
-
-
 def _on_message(
     slices: Slices,
     helper: str,
@@ -225,6 +170,8 @@
             return _take_back(slices, slice, Cause.REFUSED, now)
         case SliceResults():
             _accept(slices, slice)
+            if now >= slice.sent_at + HEARD_SHARE * target_s(slice):
+                slice.due_at = float("inf")
             return _on_results(slices, slice, message, now)
 
 
@@ -233,12 +180,11 @@
     if slice.is_probed:
         slice.due_at = float("inf")
     elif not slice.is_accepted:
-        part = next(iter(slice.pending_by_index.values()))
-        target_s = part.forward.target_latency_s if part.forward else 0.0
         ask_after_s = max(
-            target_s * GIVE_UP_SHARE - ANSWER_TIMEOUT_S, ANSWER_TIMEOUT_S
+            target_s(slice) * GIVE_UP_SHARE - ANSWER_TIMEOUT_S,
+            ANSWER_TIMEOUT_S,
         )
-        _set_due(slices, slice, slice.sent_at + ask_after_s)
+        set_due(slices, slice, slice.sent_at + ask_after_s)
     slice.is_accepted = True
 
 
@@ -350,7 +296,7 @@
             actions += _take_back(slices, slice, Cause.LATE, now)
         elif not slice.is_probed:
             slice.is_probed = True
-            _set_due(slices, slice, now + ANSWER_TIMEOUT_S)
+            set_due(slices, slice, now + ANSWER_TIMEOUT_S)
             actions.append(SendToHelper(slice.helper, SliceProbe(slice.id)))
         else:
             actions += _take_back(slices, slice, Cause.SILENT, now)
