--- a/berylspool/process/entry/delegation/helper.py
+++ b/berylspool/process/entry/delegation/helper.py
@@ -155,7 +155,10 @@
 
     def _accept(self, session: Session, message: RunSlice) -> None:
         key = (session.id, message.id)
-        if self.is_stopping or self._was_frozen():
+        if key in self._slice_by_key:
+            session.inbox.put(SliceAccepted(message.id))
+            return
+        if self.is_stopping or self._was_frozen() or not message.parts:
             # The first entry has given up waiting, or is about to.
             session.inbox.put(SliceRefused(message.id))
             self._count("refused")
