Customers identified by API keys; interfaces for the other parts

A configuration may list customers with their keys. ForwardPlan.customers holds them by keyed hashes, ForwardRequest.api_keys what a caller sent, and Forward.customer and Forward.rank what follows from it. A request without a valid key is refused as unknown_key, status 401, unless its route is public. Upstreams get the customer's name in X-Tenant, never the key; headers that state either are left out of what the caller sent. Without a list of customers nothing changes.

Reprs and the text of validation errors hold no values of a configuration.

--- a/berylspool/platform/document.py
+++ b/berylspool/platform/document.py
@@ -1,14 +1,20 @@
 """Decoding of the operator's configuration from the platform's JSON."""
 
+import secrets
 import zlib
 from typing import Any
 
 import orjson
-from pydantic import Field, ValidationError
+from pydantic import Field, ValidationError, field_validator
 
 from berylspool.exception import ConfigurationError
-from berylspool.platform.model import PlatformModel
+from berylspool.platform.model import PlatformModel, describe_error
 from berylspool.version.configuration import Document
+from berylspool.version.customer.table import (
+    Customer,
+    CustomerTable,
+    make_customer_table,
+)
 from berylspool.version.forwarding import (
     ForwardPlan,
     ForwardRoute,
@@ -23,6 +29,8 @@
 DEFAULT_CONNECTIONS = 16
 # Eleven days in milliseconds; larger numbers are taken for mistakes.
 MAX_NUMBER = 10**9
+# Secret of the hashes of API keys; no other process has it.
+KEY_SECRET = secrets.token_bytes(32)
 
 
 class SplitModel(PlatformModel):
@@ -58,6 +66,7 @@
         top_k: Maximum number of records in an answer merged from shards.
         min_shard_ratio: Minimum share of the shards that an answer must
             cover, from 0 to 1.
+        public: Whether its requests need no API key.
     """
 
     name: str
@@ -73,6 +82,7 @@
     fanout_services: tuple[str, ...] = ()
     top_k: int = Field(0, ge=0)
     min_shard_ratio: float = 0.0
+    public: bool = False
 
 
 class ServiceModel(PlatformModel):
@@ -94,6 +104,21 @@
     warmup_per_s: float = 0.0
 
 
+class TenantModel(PlatformModel):
+    """A customer.
+
+    Attributes:
+        name: Unique name of the customer.
+        api_keys: Keys that its requests may carry.
+        priority: Priority of its requests, in place of that of their routes;
+            None leaves the route's.
+    """
+
+    name: str
+    api_keys: tuple[str, ...] = Field(repr=False)
+    priority: int | None = None
+
+
 class ConfigurationModel(PlatformModel):
     """A complete configuration.
 
@@ -101,11 +126,23 @@
         version: Number that the operator gave the configuration.
         routes: All routes.
         services: All services.
+        tenants: All customers; None if requests need no API key.
     """
 
     version: int = Field(ge=0)
     routes: tuple[RouteModel, ...]
     services: tuple[ServiceModel, ...]
+    tenants: tuple[TenantModel, ...] | None = None
+
+    @field_validator("tenants")
+    @classmethod
+    def _check_tenants(
+        cls, tenants: tuple[TenantModel, ...] | None
+    ) -> tuple[TenantModel, ...]:
+        """Refuse `null`, which would open all routes if it meant no list."""
+        if tenants is None:
+            raise ValueError("not a list")
+        return tenants
 
 
 def read_document(text: bytes) -> tuple[Document, ForwardPlan]:
@@ -135,6 +172,11 @@
     largest_by_field = {"min_shard_ratio": 1.0}
     items: tuple[RouteModel | ServiceModel, ...]
     items = (*model.routes, *model.services)
+    for tenant in model.tenants or ():
+        if not 0 <= (tenant.priority or 0) <= MAX_NUMBER:
+            raise ConfigurationError(
+                f"priority of a customer is not from 0 to {MAX_NUMBER}"
+            )
     for item in items:
         for field, value in item:
             is_number = isinstance(value, int | float)
@@ -176,10 +218,9 @@
         data: Any = orjson.loads(text)
         return ConfigurationModel.model_validate(data)
     except ValidationError as error:
-        details = error.errors(include_input=False, include_url=False)
-        raise ConfigurationError(str(details)) from error
+        raise ConfigurationError(describe_error(error)) from None
     except ValueError as error:
-        raise ConfigurationError(f"invalid JSON: {error}") from error
+        raise ConfigurationError(f"invalid JSON: {error}") from None
 
 
 def _to_plan(model: ConfigurationModel) -> ForwardPlan:
@@ -217,9 +258,31 @@
             for host, routes in routes_by_host.items()
         },
         service_by_name,
+        _to_customers(model.tenants) if model.tenants is not None else None,
     )
 
 
+def _to_customers(models: tuple[TenantModel, ...]) -> CustomerTable:
+    for position, model in enumerate(models):
+        if not _fits_in_header(model.name):
+            raise ConfigurationError(
+                f"customer {position}: no header can hold its name"
+            )
+    return make_customer_table(
+        (
+            (Customer(model.name, model.priority), model.api_keys)
+            for model in models
+        ),
+        KEY_SECRET,
+    )
+
+
+def _fits_in_header(text: str) -> bool:
+    """Return whether a text arrives unchanged as the value of a header."""
+    is_trimmed = text.strip(" \t") == text
+    return is_trimmed and not any(c < " " or c == "\x7f" for c in text)
+
+
 def _to_route(model: RouteModel) -> ForwardRoute:
     return ForwardRoute(
         name=model.name,
@@ -233,6 +296,7 @@
         targets=_to_targets(model),
         max_records=model.top_k if model.fanout_services else 0,
         min_coverage=model.min_shard_ratio,
+        is_public=model.public,
     )
 
 
--- a/berylspool/platform/headers.py
+++ b/berylspool/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 __all__ = [
+    "API_KEY",
     "EXPECT_INSTANCE",
     "MISSING_PARTS",
     "NOT_EXECUTED",
@@ -13,8 +14,11 @@
     "RETRY_AFTER",
     "SERVER_LEAVING",
     "SERVER_LOAD",
+    "TENANT",
     "parse_whole_number",
+    "select_anonymous",
     "select_end_to_end",
+    "states_identity",
 ]
 
 REQUEST_ID = "X-Request-Id"
@@ -38,6 +42,13 @@
 # Number of shards that a merged answer does not cover.
 MISSING_PARTS = "X-Missing-Parts"
 
+# Key of the customer that sends a request; no upstream may get it.
+API_KEY = "X-Api-Key"
+# Name of that customer, by which upstreams know it.
+TENANT = "X-Tenant"
+
+IDENTITY_NAMES = frozenset({API_KEY.lower(), TENANT.lower()})
+
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and the content length, which
 # each hop states itself.
 HOP_BY_HOP = frozenset(
@@ -103,3 +114,37 @@
     return tuple(
         pair for pair in pairs if pair[0].lower() not in excluded_names
     )
+
+
+def states_identity(name: str) -> bool:
+    """Return whether a header states a key or names a customer.
+
+    Upstreams that read headers as environment variables do not tell `-` from
+    `_`, so names with `_` count, too.
+
+    Examples:
+        >>> [states_identity(n) for n in ("X_TENANT", "x-api-key", "X-Tenants")]
+        [True, True, False]
+    """
+    return name.lower().replace("_", "-") in IDENTITY_NAMES
+
+
+def select_anonymous(
+    headers: tuple[tuple[str, str], ...],
+) -> tuple[tuple[str, str], ...] | None:
+    """Return the headers that neither state a key nor name a customer.
+
+    Args:
+        headers: Headers as received.
+
+    Returns:
+        The other headers, in the order received; None if these are all.
+
+    Examples:
+        >>> select_anonymous((("X_TENANT", "a"), ("B", "2")))
+        (('B', '2'),)
+        >>> select_anonymous((("B", "2"),)) is None
+        True
+    """
+    selected = tuple(pair for pair in headers if not states_identity(pair[0]))
+    return selected if len(selected) < len(headers) else None
--- a/berylspool/platform/ingress.py
+++ b/berylspool/platform/ingress.py
@@ -31,6 +31,8 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 256 * 1024
 MAX_LOGGED_PATH = 200
+# Stands in a log line for what may be an API key.
+HIDDEN = "[hidden]"
 MIN_RETRY_AFTER_S = 0.05
 MS_PER_S = 1000.0
 
@@ -39,6 +41,9 @@
     Reason.TIMEOUT: 504,
 }
 STATUS_NOT_RUN = 503
+# A response with status 401 must state a scheme (RFC 9110, section 15.5.2).
+# None is registered for a key in a header of its own.
+CHALLENGE = ("WWW-Authenticate", "ApiKey")
 STATUS_MAY_HAVE_RUN = 502
 
 
@@ -65,6 +70,8 @@
             )
         case Refusal(reason=Reason.UNKNOWN_ROUTE):
             return UpstreamResponse(404, (), b"")
+        case Refusal(reason=Reason.UNKNOWN_KEY):
+            return UpstreamResponse(401, (CHALLENGE,), b"")
         case Refusal(not_run=True, retry_after_s=retry_after_s):
             seconds = max(retry_after_s, MIN_RETRY_AFTER_S)
             return UpstreamResponse(
@@ -165,7 +172,8 @@
     def _log_failure(
         self, request: HTTPServerRequest, error: Exception
     ) -> None:
-        self._log(RequestFailed(request.path[:MAX_LOGGED_PATH], repr(error)))
+        text = _hide_keys(repr(error), request)
+        self._log(RequestFailed(request.path[:MAX_LOGGED_PATH], text))
 
 
 def _make_headers(
@@ -207,20 +215,47 @@
     )
     deadline_s = deadline_ms / MS_PER_S if deadline_ms is not None else None
     host = request.headers.get("Host", "")
+    end_to_end_headers = headers.select_end_to_end(
+        request.headers.get_all(), {headers.REQUEST_DEADLINE.lower()}
+    )
     return ForwardRequest(
         id=request.headers.get(headers.REQUEST_ID, ""),
         method=request.method,
         host=host.partition(":")[0].lower(),
         path=request.path,
         target=request.uri,
-        headers=headers.select_end_to_end(
-            request.headers.get_all(), {headers.REQUEST_DEADLINE.lower()}
-        ),
+        headers=end_to_end_headers,
         body=request.body,
         deadline_s=deadline_s,
+        api_keys=_read_api_keys(request.headers),
+        anonymous_headers=headers.select_anonymous(end_to_end_headers),
+    )
+
+
+def _read_api_keys(request_headers: HTTPHeaders) -> tuple[str, ...]:
+    """Return the value of each header that states a key."""
+    values = request_headers.get_list(headers.API_KEY)
+    # Bytes are read as Latin-1, but operators publish keys in UTF-8.
+    return tuple(
+        value.encode("latin-1").decode("utf-8", "surrogateescape")
+        for value in values
     )
 
 
+def _hide_keys(text: str, request: HTTPServerRequest) -> str:
+    """Return a text without any value that may be an API key."""
+    values = {
+        value
+        for name, value in request.headers.get_all()
+        if headers.states_identity(name)
+    }
+    for value in sorted(values, key=len, reverse=True):
+        for written in (value, repr(value)[1:-1]):
+            if written:
+                text = text.replace(written, HIDDEN)
+    return text
+
+
 class ReadinessServer:
     """HTTP server for the load balancer's readiness checks.
 
--- a/berylspool/platform/model.py
+++ b/berylspool/platform/model.py
@@ -1,8 +1,8 @@
 """Base class of the models for the platform's JSON."""
 
-from pydantic import BaseModel, ConfigDict
+from pydantic import BaseModel, ConfigDict, ValidationError
 
-__all__ = ["PlatformModel"]
+__all__ = ["PlatformModel", "describe_error"]
 
 
 class PlatformModel(BaseModel):
@@ -13,3 +13,14 @@
         alias_generator=lambda name: name.replace("_", "-"),
         frozen=True,
     )
+
+
+def describe_error(error: ValidationError) -> str:
+    """Return what is wrong with a text, without any value that it holds.
+
+    An operator's text may hold API keys.
+    """
+    details = error.errors(
+        include_input=False, include_url=False, include_context=False
+    )
+    return str(details)
--- a/berylspool/platform/operator_server.py
+++ b/berylspool/platform/operator_server.py
@@ -21,7 +21,7 @@
 from berylspool.connection.listen import listen
 from berylspool.exception import ConfigurationError
 from berylspool.platform.document import read_document, unpack_document
-from berylspool.platform.model import PlatformModel
+from berylspool.platform.model import PlatformModel, describe_error
 from berylspool.version.configuration import Configuration, ZoneState
 from berylspool.version.move import MoveState
 from berylspool.version.operation import (
@@ -167,7 +167,7 @@
         try:
             model = RolloutModel.model_validate_json(self.request.body)
         except ValidationError as error:
-            self.respond_error(400, str(error))
+            self.respond_error(400, describe_error(error))
             return
         service, version = model.service, model.target_version
         operation = MoveService(service, version, model.duration_s)
--- a/berylspool/platform/upstream/codec.py
+++ b/berylspool/platform/upstream/codec.py
@@ -96,8 +96,11 @@
         self._request_id = next(
             (v for n, v in forward.headers if n.lower() == REQUEST_ID_NAME), ""
         )
-        lines.append(f"{headers.REQUEST_DEADLINE}: ")
-        self._head = "\r\n".join(lines).encode("latin-1")
+        fields = "\r\n".join(lines).encode("latin-1") + b"\r\n"
+        if forward.customer:
+            # A name may hold characters that Latin-1 lacks.
+            fields += f"{headers.TENANT}: {forward.customer}\r\n".encode()
+        self._head = fields + f"{headers.REQUEST_DEADLINE}: ".encode("latin-1")
         length = ""
         if forward.body or forward.method not in ("GET", "HEAD"):
             length = f"Content-Length: {len(forward.body)}\r\n"
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -30,6 +30,7 @@
 from berylspool.request.query import Outcome, Query, Reason, Refusal
 from berylspool.request.request_task import RequestTask
 from berylspool.version.containment import CrashEvidence, is_convicted
+from berylspool.version.customer.identity import Unidentified, identify
 from berylspool.version.forwarding import (
     choose_target,
     find_route,
@@ -103,13 +104,25 @@
         if route is None:
             refusal = Refusal(request.id, Reason.UNKNOWN_ROUTE, True, 0.0)
             return self._record_refusal(refusal)
+        identity = identify(
+            view.plan.customers, route.is_public, request.api_keys
+        )
+        if isinstance(identity, Unidentified):
+            refusal = Refusal(request.id, Reason.UNKNOWN_KEY, True, 0.0)
+            return self._record_refusal(refusal)
         self._query_serial += 1
         serial = self._query_serial
         hedge_share = self._state.settings.routing.hedge_share
         early_s = early_margin_s(self.timer_lag, route.target_latency_s)
         arrived_at = stopwatch.started_at
         query = new_query(
-            request, route, serial, hedge_share, early_s, arrived_at
+            request,
+            route,
+            serial,
+            hedge_share,
+            early_s,
+            arrived_at,
+            identity,
         )
         if is_convicted(self._evidence, query.fingerprint):
             return self._record_refusal(
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -53,6 +53,7 @@
             running or may have run.
         INVALID: The request violates a rule for its format or its route.
         INTERNAL: The entry failed to handle the request.
+        UNKNOWN_KEY: The request has no valid API key, and its route needs one.
     """
 
     TIMEOUT = "timeout"
@@ -75,6 +76,7 @@
     IN_PROGRESS = "in_progress"
     INVALID = "invalid"
     INTERNAL = "internal"
+    UNKNOWN_KEY = "unknown_key"
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,24 +99,28 @@
     Attributes:
         method: HTTP method.
         target: Path and query string, unchanged.
-        headers: End-to-end headers, in their original order.
+        headers: End-to-end headers, in their original order; without customers,
+            a key that the caller sent is among them.
         body: Complete body.
         is_part: Whether the response is one part of the answer, and
             therefore a list of records.
         attempts: Maximum number of upstreams that may run one part.
         hedge_after_s: Time without an answer after which a second copy is
             sent, in seconds; None for no second copy.
-        rank: Priority of its route; 0 is the most urgent.
+        rank: Priority of its customer, or else of its route; 0 is the most
+            urgent.
+        customer: Name of its customer; empty if it has none.
     """
 
     method: str
     target: str
-    headers: tuple[tuple[str, str], ...]
+    headers: tuple[tuple[str, str], ...] = field(repr=False)
     body: bytes
     is_part: bool = False
     attempts: int = 1
     hedge_after_s: float | None = None
     rank: int = 0
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/configuration.py
+++ b/berylspool/version/configuration.py
@@ -166,11 +166,11 @@
 
     Attributes:
         number: Number that the operator assigned; 0 before the first plan.
-        body: Published text, compressed.
+        body: Published text, compressed; it may hold API keys.
     """
 
     number: int = 0
-    body: bytes = b""
+    body: bytes = field(default=b"", repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -20,6 +20,12 @@
 )
 from berylspool.version import move as moves
 from berylspool.version.configuration import HASH_BUCKETS
+from berylspool.version.customer.identity import (
+    UNCHECKED,
+    Identified,
+    Identity,
+)
+from berylspool.version.customer.table import Customer, CustomerTable
 from berylspool.version.move import Move, traffic_share
 
 __all__ = [
@@ -72,6 +78,7 @@
             route does not fan out.
         min_coverage: Minimum share of the shards that an answer must cover,
             from 0 to 1.
+        is_public: Whether its requests need no API key.
     """
 
     name: str
@@ -85,6 +92,7 @@
     targets: tuple[Target, ...]
     max_records: int = 0
     min_coverage: float = 0.0
+    is_public: bool = False
 
     @property
     def is_fan_out(self) -> bool:
@@ -120,6 +128,7 @@
         number: Number that the operator assigned; 0 before the first plan.
         routes_by_host: Routes of each host, longest prefix first.
         service_by_name: Services that the routes use.
+        customers: Customers and their API keys; None if requests need no key.
     """
 
     number: int = 0
@@ -127,6 +136,7 @@
         default_factory=dict
     )
     service_by_name: dict[str, ForwardService] = field(default_factory=dict)
+    customers: CustomerTable | None = None
 
 
 def find_route(plan: ForwardPlan, host: str, path: str) -> ForwardRoute | None:
@@ -224,6 +234,7 @@
     hedge_share: float,
     margin_s: float,
     now: float,
+    identity: Identity = UNCHECKED,
 ) -> Query:
     """Create the query of a forwarded request.
 
@@ -236,20 +247,27 @@
         margin_s: Time before the target latency at which an answer has to be
             returned, in seconds.
         now: Monotonic time in seconds.
+        identity: Who sent the request.
 
     Returns:
         Query whose deadline is the earlier of the caller's and the route's.
     """
     timeout_s = min(request.deadline_s or DEFAULT_TIMEOUT_S, route.timeout_s)
+    headers, customer = request.headers, Customer("")
+    if identity != UNCHECKED and request.anonymous_headers is not None:
+        headers = request.anonymous_headers
+    if isinstance(identity, Identified):
+        customer = identity.customer
     forward = Forward(
         request.method,
         request.target,
-        request.headers,
+        headers,
         request.body,
         is_part=route.is_fan_out,
         attempts=route.max_attempts,
         hedge_after_s=(route.target_latency_s or timeout_s) * hedge_share,
-        rank=route.rank,
+        rank=route.rank if customer.rank is None else customer.rank,
+        customer=customer.name,
     )
     soft_deadline = None
     if route.is_fan_out and route.target_latency_s:
