A removed API key ends requests of which nothing was sent

Cause: a request that waits in a queue under a key that is removed would still be sent later. Change: when a plan comes into force, each running request that it would refuse asks the router for its parts back. The router discards them only if no copy of any of them was sent, all or none, and the request ends with unknown_key; any other goes on. An entry whose plan has customers never goes back to a lower plan number. Errors about frames state no values, as a frame may carry a published configuration. Gauges report whether keys are required, the customers and their keys.

--- a/berylspool/common/frame.py
+++ b/berylspool/common/frame.py
@@ -110,11 +110,15 @@
                     messages.append(self._adapter(tag).validate_python(fields))
             return messages
         except ValidationError as error:
-            raise FrameError(f"invalid message: {error}") from error
+            # Without the values: a frame may carry API keys.
+            details = error.errors(include_input=False, include_url=False)
+            raise FrameError(f"invalid message: {details}") from None
         except (ValueError, TypeError, KeyError) as error:
-            raise FrameError(f"malformed frame: {error!r}") from error
+            name = type(error).__name__
+            raise FrameError(f"malformed frame: {name}") from None
         except (msgpack.UnpackException, zlib.error) as error:
-            raise FrameError(f"malformed frame: {error!r}") from error
+            name = type(error).__name__
+            raise FrameError(f"malformed frame: {name}") from None
 
     def _adapter(self, tag: str) -> TypeAdapter[Any]:
         """Return the validator of a message class, created on first use.
--- a/berylspool/process/entry/forwarding/forwarder.py
+++ b/berylspool/process/entry/forwarding/forwarder.py
@@ -63,6 +63,7 @@
     convict,
     expire,
 )
+from berylspool.version.customer.table import count_api_keys, count_customers
 from berylspool.version.forwarding import ForwardPlan
 from berylspool.version.listing import Listing
 from berylspool.version.pool.message import Blame, ObservedReply
@@ -190,6 +191,7 @@
     def _apply_configuration(self, configuration: Configuration) -> None:
         update_moves(self.statistics, self.state.configuration.move_by_route)
         self.router.inbox.put(ConfigurationChanged(configuration))
+        self.handler.key_revocation.apply(self.state.view.value.plan)
 
     def _apply_listing(self, listing: Listing) -> None:
         self.state.set_listing(listing)
@@ -225,9 +227,12 @@
 
     def _update_gauges(self) -> None:
         """Update the gauges for scrapes of the metrics."""
-        state = self.state
+        state, plan = self.state, self.state.view.value.plan
         value_by_gauge = {
-            "berylspool_plan": state.view.value.plan.number,
+            "berylspool_plan": plan.number,
+            "berylspool_requires_keys": int(plan.customers is not None),
+            "berylspool_customers": count_customers(plan.customers),
+            "berylspool_api_keys": count_api_keys(plan.customers),
             "berylspool_configuration_revision": state.configuration.revision,
             "berylspool_in_flight": len(self.handler.running),
             "berylspool_members": state.entry_count,
--- a/berylspool/process/entry/forwarding/forwarding_state.py
+++ b/berylspool/process/entry/forwarding/forwarding_state.py
@@ -188,6 +188,9 @@
         plan, document = self.view.value.plan, self.configuration.document
         if document.number in (plan.number, self._refused_plan_number):
             return plan
+        if plan.customers is not None and document.number < plan.number:
+            # A key that was removed since must not become valid again.
+            return plan
         try:
             return self._decode(document)
         except ConfigurationError as error:
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -12,6 +12,7 @@
     plan_wait_s,
     retry_without_plan_s,
 )
+from berylspool.process.entry.forwarding.key_revocation import KeyRevocation
 from berylspool.process.entry.forwarding.lag import (
     TimerLag,
     early_margin_s,
@@ -27,7 +28,7 @@
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.fingerprint import hash64
 from berylspool.request.forward_request import ForwardRequest
-from berylspool.request.query import Outcome, Query, Reason, Refusal
+from berylspool.request.query import Outcome, Reason, Refusal
 from berylspool.request.request_task import RequestTask
 from berylspool.version.containment import CrashEvidence, is_convicted
 from berylspool.version.customer.identity import Unidentified, identify
@@ -58,6 +59,7 @@
     Attributes:
         running: Requests that have no outcome yet.
         timer_lag: Lag of the timers of this process.
+        key_revocation: Watches the API keys of running requests.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
     ) -> None:
         self.running = RunningRequests(clock)
         self.timer_lag = TimerLag()
+        self.key_revocation = KeyRevocation()
         self._state = state
         self._router = router
         self._evidence = evidence
@@ -134,7 +137,9 @@
             )
         target = choose_target(route, hash64(query.id))
         pinned = pin_target(view.plan, target, query.id, view.move_by_service)
-        outcome = await self._run_request(query, pinned, caller_gone)
+        task = RequestTask(query, self._router, self._clock)
+        with self.key_revocation.track(task, request, route):
+            outcome = await self._run_request(task, pinned, caller_gone)
         record_outcome(
             self._metrics,
             self._log,
@@ -165,9 +170,8 @@
         return refusal
 
     async def _run_request(
-        self, query: Query, pinned: PinnedMap, caller_gone: asyncio.Event
+        self, task: RequestTask, pinned: PinnedMap, caller_gone: asyncio.Event
     ) -> Outcome:
-        task = RequestTask(query, self._router, self._clock)
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
         try:
             with self.running.track(task):
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -48,12 +48,15 @@
     TableChanged,
     UpstreamsListed,
 )
+from berylspool.process.entry.withdrawal import may_withdraw
+from berylspool.request.fanout_message import PartsWithdrawn
 from berylspool.request.part_message import (
     DiscardPart,
     Origin,
     RunPart,
     Subscribe,
     Unsubscribe,
+    WithdrawUnsent,
 )
 from berylspool.request.query import (
     PartFailed,
@@ -89,6 +92,7 @@
     | PoolMessage
     | Subscribe
     | Unsubscribe
+    | WithdrawUnsent
     | UpstreamsListed
     | SlownessJudged
 )
@@ -242,6 +246,10 @@
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
                 self._inbox_by_request.pop(request_id, None)
+            case WithdrawUnsent():
+                # Results of this turn decide whether a part has ended.
+                self._return_results()
+                self._withdraw(message)
             case UpstreamsListed(ids=ids):
                 self._pools.forget_unlisted(ids)
             case SlownessJudged():
@@ -253,6 +261,15 @@
                     self.member_table.publish(self.routing.active_table)
                     self._update_links(message)
 
+    def _withdraw(self, wanted: WithdrawUnsent) -> None:
+        inbox = self._inbox_by_request.get(wanted.origin.id)
+        if inbox is not None and may_withdraw(
+            self.routing, self._pools.is_unsent, wanted.part_ids
+        ):
+            for part_id in wanted.part_ids:
+                self._handle(DiscardPart(part_id))
+            inbox.put(PartsWithdrawn())
+
     def _perform(self, action: RoutingAction) -> None:
         match action:
             case SendToPool(key=key, event=event):
--- a/berylspool/request/fanout.py
+++ b/berylspool/request/fanout.py
@@ -14,11 +14,24 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from berylspool.request.fanout_message import (
+    CallerDisconnected,
+    CancelPart,
+    DeadlinePassed,
+    EntryStopping,
+    FanOutAction,
+    FanOutEvent,
+    Finish,
+    KeyRevoked,
+    PartsWithdrawn,
+    SendPart,
+    SoftDeadlinePassed,
+    WithdrawParts,
+)
 from berylspool.request.query import (
     Answer,
     Concatenate,
     Coverage,
-    Outcome,
     Part,
     PartFailed,
     PartRefused,
@@ -70,66 +83,6 @@
     version_by_service: dict[str, str] = field(default_factory=dict)
 
 
-@dataclass(frozen=True, slots=True)
-class DeadlinePassed:
-    """The caller's deadline has passed."""
-
-
-@dataclass(frozen=True, slots=True)
-class SoftDeadlinePassed:
-    """The query's soft deadline has passed: minimum coverage is enough now."""
-
-
-@dataclass(frozen=True, slots=True)
-class CallerDisconnected:
-    """The caller has closed its connection."""
-
-
-@dataclass(frozen=True, slots=True)
-class EntryStopping:
-    """The entry is about to exit, so the request ends with what it has."""
-
-
-FanOutEvent = (
-    PartResult
-    | DeadlinePassed
-    | SoftDeadlinePassed
-    | CallerDisconnected
-    | EntryStopping
-)
-
-
-@dataclass(slots=True)
-class SendPart:
-    """Send a part to the owner of its service."""
-
-    part: Part
-
-
-@dataclass(slots=True)
-class CancelPart:
-    """Notify the owner that the result of a part is no longer needed.
-
-    Attributes:
-        part: Part to cancel.
-        is_caller_gone: Whether the caller has disconnected, so that work on the
-            part must end.
-    """
-
-    part: Part
-    is_caller_gone: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Finish:
-    """Return the outcome to the caller; this is the last action."""
-
-    outcome: Outcome
-
-
-FanOutAction = SendPart | CancelPart | Finish
-
-
 @dataclass(slots=True)
 class FanOut:
     """State of one request's fan-out.
@@ -150,6 +103,7 @@
             seconds.
         error_response: Latest error response of an upstream.
         restarts: Number of restarts on a newer snapshot.
+        is_key_revoked: Whether the API key of the request is no longer valid.
         is_finished: Whether the outcome was returned.
     """
 
@@ -166,6 +120,7 @@
     retry_after_s: float = 0.0
     error_response: UpstreamResponse | None = None
     restarts: int = 0
+    is_key_revoked: bool = False
     is_finished: bool = False
 
 
@@ -231,6 +186,11 @@
             return _cancel_pending(state, Reason.SHUTTING_DOWN)
         case CallerDisconnected():
             return _cancel_pending(state, Reason.CANCELLED, is_caller_gone=True)
+        case KeyRevoked():
+            state.is_key_revoked = True
+            return _withdraw_pending(state)
+        case PartsWithdrawn():
+            return [_refuse_revoked(state)]
 
 
 def _send_all_parts(state: FanOut, now: float) -> list[FanOutAction]:
@@ -295,6 +255,9 @@
                 return _resend(state, part, reason, now)
             state.retry_after_s = max(state.retry_after_s, result.retry_after_s)
             state.missing_by_shard[part.shard] = reason
+            if state.is_key_revoked:
+                # An earlier withdrawal failed if this part had ended by then.
+                return _withdraw_pending(state)
     return []
 
 
@@ -305,7 +268,24 @@
     if sends >= MAX_SENDS_PER_SHARD or now >= state.query.deadline:
         state.missing_by_shard[part.shard] = reason
         return []
-    return [_send_part(state, part.shard, state.query.deadline - now)]
+    resent = _send_part(state, part.shard, state.query.deadline - now)
+    if state.is_key_revoked:
+        return [resent, *_withdraw_pending(state)]
+    return [resent]
+
+
+def _withdraw_pending(state: FanOut) -> list[FanOutAction]:
+    """Ask for the pending parts back, unless some part may have run."""
+    if state.may_have_run or not state.pending_by_id:
+        return []
+    return [WithdrawParts(tuple(state.pending_by_id))]
+
+
+def _refuse_revoked(state: FanOut) -> Finish:
+    """End a request whose parts are back, none of which was sent."""
+    state.pending_by_id.clear()
+    state.is_finished = True
+    return Finish(Refusal(state.query.id, Reason.UNKNOWN_KEY, True, 0.0))
 
 
 def _handle_lost_snapshot(
--- a/berylspool/request/part_message.py
+++ b/berylspool/request/part_message.py
@@ -13,6 +13,7 @@
     "RunParts",
     "Subscribe",
     "Unsubscribe",
+    "WithdrawUnsent",
 ]
 
 
@@ -91,3 +92,16 @@
     """
 
     request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawUnsent:
+    """Discard parts of a request if no copy of any of them was sent.
+
+    Attributes:
+        origin: The request, which gets `PartsWithdrawn` if they were discarded.
+        part_ids: Ids of the parts.
+    """
+
+    origin: Origin
+    part_ids: tuple[str, ...]
--- a/berylspool/request/request_task.py
+++ b/berylspool/request/request_task.py
@@ -18,12 +18,14 @@
     start,
     step,
 )
+from berylspool.request.fanout_message import KeyRevoked, WithdrawParts
 from berylspool.request.part_message import (
     DiscardPart,
     Origin,
     RunParts,
     Subscribe,
     Unsubscribe,
+    WithdrawUnsent,
 )
 from berylspool.request.query import Outcome, Part, Query
 
@@ -63,6 +65,10 @@
         """Notify the task that the entry is about to exit."""
         self.inbox.put(EntryStopping())
 
+    def notify_key_revoked(self) -> None:
+        """Notify the task that the API key of its request is not valid now."""
+        self.inbox.put(KeyRevoked())
+
     async def run(self, pinned: PinnedMap) -> Outcome:
         """Run the fan-out and return its outcome.
 
@@ -121,6 +127,9 @@
                     # A part that was just sent may be cancelled at once.
                     parts = self._run_parts(parts)
                     self._router.put(DiscardPart(part.id, is_gone))
+                case WithdrawParts(part_ids=part_ids):
+                    parts = self._run_parts(parts)
+                    self._router.put(WithdrawUnsent(self._origin, part_ids))
                 case Finish(outcome=outcome):
                     return outcome
         self._run_parts(parts)
--- a/berylspool/request/tests/test_fanout.py
+++ b/berylspool/request/tests/test_fanout.py
@@ -12,6 +12,11 @@
     start,
     step,
 )
+from berylspool.request.fanout_message import (
+    KeyRevoked,
+    PartsWithdrawn,
+    WithdrawParts,
+)
 from berylspool.request.query import (
     Answer,
     PartFailed,
@@ -144,3 +149,35 @@
     actions = step(state, CallerDisconnected(), 0.1)
     assert len(actions) == 4
     assert step(state, DeadlinePassed(), 1.0) == []
+
+
+def test_revoked_request_is_refused_once_its_parts_are_back():
+    state, parts = start_fan_out(2)
+    assert step(state, KeyRevoked(), 0.1) == [
+        WithdrawParts((parts[0].id, parts[1].id))
+    ]
+    outcome = outcome_of(step(state, PartsWithdrawn(), 0.1))
+    assert outcome == Refusal("q", Reason.UNKNOWN_KEY, True, 0.0)
+    assert not step(state, PartRows(parts[0].id, V1, (), 1), 0.2)
+
+
+def test_revoked_request_that_runs_goes_on():
+    """Its answer would be lost, or a refusal would say that it did not run."""
+    state, parts = start_fan_out(2)
+    step(state, PartRows(parts[0].id, V1, ("x",), 1), 0.1)
+    assert step(state, KeyRevoked(), 0.1) == []
+    actions = step(state, PartRows(parts[1].id, V1, ("y",), 1), 0.2)
+    assert outcome_of(actions).rows == ("x", "y")
+
+
+def test_revoked_request_asks_again_after_a_part_was_refused():
+    """The first question came too late for a part that had just ended."""
+    state, parts = start_fan_out(3)
+    step(state, KeyRevoked(), 0.1)
+    refused = PartRefused(parts[0].id, Reason.OVERLOAD, 0.1)
+    assert step(state, refused, 0.1) == [
+        WithdrawParts((parts[1].id, parts[2].id))
+    ]
+    moved = PartRefused(parts[1].id, Reason.NO_OWNER, 0.1)
+    [resent, withdrawal] = step(state, moved, 0.1)
+    assert withdrawal == WithdrawParts((parts[2].id, resent.part.id))
--- a/berylspool/version/customer/table.py
+++ b/berylspool/version/customer/table.py
@@ -11,7 +11,14 @@
 
 from berylspool.exception import ConfigurationError
 
-__all__ = ["Customer", "CustomerTable", "find_customer", "make_customer_table"]
+__all__ = [
+    "Customer",
+    "CustomerTable",
+    "count_api_keys",
+    "count_customers",
+    "find_customer",
+    "make_customer_table",
+]
 
 # Two different keys have the same hash with a probability of 2**-128.
 DIGEST_BYTES = 16
@@ -114,6 +121,16 @@
     return None
 
 
+def count_customers(table: CustomerTable | None) -> int:
+    """Return the number of customers; 0 without a table."""
+    return table.customer_count if table is not None else 0
+
+
+def count_api_keys(table: CustomerTable | None) -> int:
+    """Return the number of API keys of all customers; 0 without a table."""
+    return len(table.customer_by_digest) if table is not None else 0
+
+
 def _hash_key(api_key: str, secret: bytes) -> bytes:
     # Headers may hold any bytes, which a front end decodes with surrogates.
     text = api_key.encode("utf-8", "surrogateescape")
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -209,6 +209,12 @@
             case _:
                 self._changed_keys.add(key)
 
+    def is_unsent(self, key: PoolKey, part_id: str) -> bool:
+        """Return whether a part waits in a pool and no copy of it was sent."""
+        running = self._running_by_key.get(key)
+        job = running.pool.job_by_part.get(part_id) if running else None
+        return job is not None and not job.sends
+
     def judge(self, judged: SlownessJudged) -> None:
         """Tell the pools of an upstream how all entries judge it."""
         for key, running in list(self._running_by_key.items()):
