--- a/berylspool/platform/ingress.py
+++ b/berylspool/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import traceback
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -31,8 +32,6 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_HEADER_BYTES = 256 * 1024
 MAX_LOGGED_PATH = 200
-# Stands in a log line for what may be an API key.
-HIDDEN = "[hidden]"
 MIN_RETRY_AFTER_S = 0.05
 MS_PER_S = 1000.0
 
@@ -172,7 +171,7 @@
     def _log_failure(
         self, request: HTTPServerRequest, error: Exception
     ) -> None:
-        text = _hide_keys(repr(error), request)
+        text = _describe_error(error, request)
         self._log(RequestFailed(request.path[:MAX_LOGGED_PATH], text))
 
 
@@ -242,18 +241,19 @@
     )
 
 
-def _hide_keys(text: str, request: HTTPServerRequest) -> str:
-    """Return a text without any value that may be an API key."""
-    values = {
-        value
-        for name, value in request.headers.get_all()
-        if headers.states_identity(name)
-    }
-    for value in sorted(values, key=len, reverse=True):
-        for written in (value, repr(value)[1:-1]):
-            if written:
-                text = text.replace(written, HIDDEN)
-    return text
+def _describe_error(error: Exception, request: HTTPServerRequest) -> str:
+    """Return a text about an error of a request.
+
+    The text of an error may repeat values of the request, escaped in ways that
+    cannot be foreseen. If a header may state a key, only the type and the place
+    of the error are given.
+    """
+    names = (name for name, _ in request.headers.get_all())
+    if not any(headers.states_identity(name) for name in names):
+        return repr(error)
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f" at {frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    return f"{type(error).__name__}{place}"
 
 
 class ReadinessServer:
