--- a/berylspool/common/frame.py
+++ b/berylspool/common/frame.py
@@ -111,7 +111,9 @@
             return messages
         except ValidationError as error:
             # Without the values: a frame may carry API keys.
-            details = error.errors(include_input=False, include_url=False)
+            details = error.errors(
+                include_input=False, include_url=False, include_context=False
+            )
             raise FrameError(f"invalid message: {details}") from None
         except (ValueError, TypeError, KeyError) as error:
             name = type(error).__name__
--- a/berylspool/common/tests/test_frame.py
+++ b/berylspool/common/tests/test_frame.py
@@ -90,6 +90,24 @@
         CODEC.decode(msgpack.packb(items))
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        msgpack.packb([["DropPart", {"part_id": ["hush"]}]]),
+        msgpack.packb([["DropPart", "hush"]]),
+        msgpack.packb([["hush", {}]]),
+        msgpack.packb([]) + msgpack.packb("hush"),
+    ],
+    ids=["wrong_type", "no_fields", "unknown_class", "trailing_bytes"],
+)
+def test_error_states_no_value_of_the_frame(body):
+    """Errors are logged, and a frame may carry API keys."""
+    with pytest.raises(FrameError) as caught:
+        CODEC.decode(body)
+    assert "hush" not in str(caught.value)
+    assert caught.value.__suppress_context__
+
+
 def test_frame_length_rejects_oversized_frame():
     with pytest.raises(FrameTooLargeError):
         frame_length(b"\xff\xff\xff\xff")
--- a/berylspool/platform/tests/test_boundary.py
+++ b/berylspool/platform/tests/test_boundary.py
@@ -7,7 +7,7 @@
 PLATFORM_NAMES = re.compile(
     r"fanout-services|min-shard-ratio|X-Part-Stamps|X-Missing-Parts"
     r"|X-Expect-Instance|X-Not-Executed|X-Response-Stamp|X-Request-Deadline"
-    r"|X-Server-Load|Config\.Replace|Config\.Read|Rollouts\.|Evacuation\."
+    r"|X-Api-Key|X-Tenant|api-keys|X-Server-Load|Config\.Replace|Config\.Read|Rollouts\.|Evacuation\."
     r"|warmup|discovery-lag|target-latency|traffic-split|non_idempotent"
     r"|berylspool\.platform"
 )
