A request with a refused copy outlives its key

Cause: a wide request of which an upstream had refused a copy could end as unknown_key, which says that nothing of it has reached an upstream. Change: a refused part states how many copies were sent; such a request goes on. Results of the router's turn need not be passed on before a withdrawal: a part whose result is on its way has no job in a pool, so it is not unsent.

--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -247,8 +247,6 @@
             case Unsubscribe(request_id=request_id):
                 self._inbox_by_request.pop(request_id, None)
             case WithdrawUnsent():
-                # Results of this turn decide whether a part has ended.
-                self._return_results()
                 self._withdraw(message)
             case UpstreamsListed(ids=ids):
                 self._pools.forget_unlisted(ids)
--- a/berylspool/request/fanout.py
+++ b/berylspool/request/fanout.py
@@ -104,6 +104,7 @@
         error_response: Latest error response of an upstream.
         restarts: Number of restarts on a newer snapshot.
         is_key_revoked: Whether the API key of the request is no longer valid.
+        has_refused_copy: Whether an upstream has refused a copy of a part.
         is_finished: Whether the outcome was returned.
     """
 
@@ -121,6 +122,7 @@
     error_response: UpstreamResponse | None = None
     restarts: int = 0
     is_key_revoked: bool = False
+    has_refused_copy: bool = False
     is_finished: bool = False
 
 
@@ -251,6 +253,7 @@
                 return _resend(state, part, reason, now)
             state.missing_by_shard[part.shard] = reason
         case PartRefused(reason=reason):
+            state.has_refused_copy = state.has_refused_copy or result.sends > 0
             if reason in RESEND_REASONS:
                 return _resend(state, part, reason, now)
             state.retry_after_s = max(state.retry_after_s, result.retry_after_s)
@@ -275,8 +278,9 @@
 
 
 def _withdraw_pending(state: FanOut) -> list[FanOutAction]:
-    """Ask for the pending parts back, unless some part may have run."""
-    if state.may_have_run or not state.pending_by_id:
+    """Ask for the pending parts back, unless a copy of a part was sent."""
+    was_sent = state.may_have_run or state.has_refused_copy
+    if was_sent or not state.pending_by_id:
         return []
     return [WithdrawParts(tuple(state.pending_by_id))]
 
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -256,11 +256,13 @@
         part_id: Id of the part.
         reason: Why the part was refused.
         retry_after_s: Time after which a retry may succeed, in seconds.
+        sends: Number of copies that upstreams have refused.
     """
 
     part_id: str
     reason: Reason
     retry_after_s: float
+    sends: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/request/tests/test_fanout.py
+++ b/berylspool/request/tests/test_fanout.py
@@ -181,3 +181,10 @@
     moved = PartRefused(parts[1].id, Reason.NO_OWNER, 0.1)
     [resent, withdrawal] = step(state, moved, 0.1)
     assert withdrawal == WithdrawParts((parts[2].id, resent.part.id))
+
+
+def test_revoked_request_whose_copy_was_refused_goes_on():
+    """A refusal as unknown says that nothing has reached an upstream."""
+    state, parts = start_fan_out(2)
+    step(state, PartRefused(parts[0].id, Reason.OVERLOAD, 0.1, 1), 0.1)
+    assert step(state, KeyRevoked(), 0.1) == []
--- a/berylspool/version/pool/availability.py
+++ b/berylspool/version/pool/availability.py
@@ -117,7 +117,7 @@
 
 
 def make_refusal(
-    pool: Pool, part_id: str, reason: Reason, now: float
+    pool: Pool, part_id: str, reason: Reason, now: float, sends: int = 0
 ) -> PartRefused:
     """Return the refusal of a part that has never run.
 
@@ -136,7 +136,7 @@
         pause_s = min(view.paused_until for view in views) - now
         spread = RETURN_SPREAD_SHARE * spread_fraction(part_id)
         delay_s = max(delay_s, pause_s * (1.0 + spread))
-    return PartRefused(part_id, reason, delay_s)
+    return PartRefused(part_id, reason, delay_s, sends)
 
 
 def closed_reason(pool: Pool, now: float) -> Reason | None:
@@ -155,7 +155,8 @@
     """End a part that no upstream takes, and that none has at work."""
     if job.has_run:
         return fail_job(pool, job, reason)
-    return finish_job(pool, job, make_refusal(pool, job.part.id, reason, now))
+    refusal = make_refusal(pool, job.part.id, reason, now, job.sends)
+    return finish_job(pool, job, refusal)
 
 
 def refuse_unservable(pool: Pool, now: float) -> list[PoolAction]:
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -369,10 +369,10 @@
     """
     if is_convicted(pool.verdicts, job.part.fingerprint):
         reason = Reason.QUARANTINED
-    has_never_run = not job.has_run and not job.attempt_by_id
     result: PartResult
-    if has_never_run:
-        result = PartRefused(job.part.id, reason, retry_after_s(pool))
+    if not job.has_run and not job.attempt_by_id:
+        retry_s = retry_after_s(pool)
+        result = PartRefused(job.part.id, reason, retry_s, job.sends)
     else:
         result = PartFailed(job.part.id, reason, job.sends, job.last_response)
     return finish_job(pool, job, result, is_caller_gone)
--- a/berylspool/version/pool/tests/test_availability.py
+++ b/berylspool/version/pool/tests/test_availability.py
@@ -328,3 +328,20 @@
     driver.feed(HealthReported("near", "another instance", False), 0.04)
     driver.feed(PoolReconfigured((NEAR,), LIMITS), 0.05)
     assert request_part(driver, 3, 0.06) == "near"
+
+
+def test_refused_part_states_the_copies_that_upstreams_refused():
+    """A request with a refused copy would count as one that was never sent."""
+    for notice in (None, pause(PAUSE_S)):
+        driver = PoolDriver(upstreams=(NEAR,))
+        answer(driver, send_to_near(driver), REFUSAL, 0.01, notice)
+        for number in range(1, 40):
+            for send in list(driver.sent):
+                if send.attempt_id in driver.pool.attempt_by_id:
+                    answer(driver, send, REFUSAL, 0.1 * number, notice)
+            driver.feed(Tick(), 0.1 * number)
+        [refused] = driver.results()
+        assert isinstance(refused, PartRefused)
+        assert refused.sends == len(driver.sent) > 0
+    driver.feed(PartArrived(make_part(2)), 4.0)
+    assert driver.results()[-1].sends == 0
