Usual messages of the router are compared with few classes

Change: results and new parts, the usual messages, are matched second, and the member table has a case of its own.

--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -54,6 +54,7 @@
     DiscardPart,
     Origin,
     RunPart,
+    RunParts,
     Subscribe,
     Unsubscribe,
     WithdrawUnsent,
@@ -242,6 +243,9 @@
         match message:
             case PoolMessage():
                 self._pools.receive(message)
+            case ResultsReceived() | RunParts():
+                # The usual messages; the other classes are not compared.
+                self._route(message)
             case Subscribe(request_id=request_id, inbox=inbox):
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
@@ -252,12 +256,16 @@
                 self._pools.forget_unlisted(ids)
             case SlownessJudged():
                 self._pools.judge(message)
+            case TableChanged():
+                self._route(message)
+                self.member_table.publish(self.routing.active_table)
+                self._update_links(message)
             case _:
-                for action in step(self.routing, message, self._clock()):
-                    self._perform(action)
-                if isinstance(message, TableChanged):
-                    self.member_table.publish(self.routing.active_table)
-                    self._update_links(message)
+                self._route(message)
+
+    def _route(self, message: RoutingEvent) -> None:
+        for action in step(self.routing, message, self._clock()):
+            self._perform(action)
 
     def _withdraw(self, wanted: WithdrawUnsent) -> None:
         inbox = self._inbox_by_request.get(wanted.origin.id)
