--- a/berylspool/platform/ingress.py
+++ b/berylspool/platform/ingress.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import traceback
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -39,6 +40,9 @@
     Reason.TIMEOUT: 504,
 }
 STATUS_NOT_RUN = 503
+# A response with status 401 must state a scheme (RFC 9110, section 15.5.2).
+# None is registered for a key in a header of its own.
+CHALLENGE = ("WWW-Authenticate", "ApiKey")
 STATUS_MAY_HAVE_RUN = 502
 
 
@@ -65,6 +69,8 @@
             )
         case Refusal(reason=Reason.UNKNOWN_ROUTE):
             return UpstreamResponse(404, (), b"")
+        case Refusal(reason=Reason.UNKNOWN_KEY):
+            return UpstreamResponse(401, (CHALLENGE,), b"")
         case Refusal(not_run=True, retry_after_s=retry_after_s):
             seconds = max(retry_after_s, MIN_RETRY_AFTER_S)
             return UpstreamResponse(
@@ -165,7 +171,8 @@
     def _log_failure(
         self, request: HTTPServerRequest, error: Exception
     ) -> None:
-        self._log(RequestFailed(request.path[:MAX_LOGGED_PATH], repr(error)))
+        text = _describe_error(error, request)
+        self._log(RequestFailed(request.path[:MAX_LOGGED_PATH], text))
 
 
 def _make_headers(
@@ -207,20 +214,48 @@
     )
     deadline_s = deadline_ms / MS_PER_S if deadline_ms is not None else None
     host = request.headers.get("Host", "")
+    end_to_end_headers = headers.select_end_to_end(
+        request.headers.get_all(), {headers.REQUEST_DEADLINE.lower()}
+    )
     return ForwardRequest(
         id=request.headers.get(headers.REQUEST_ID, ""),
         method=request.method,
         host=host.partition(":")[0].lower(),
         path=request.path,
         target=request.uri,
-        headers=headers.select_end_to_end(
-            request.headers.get_all(), {headers.REQUEST_DEADLINE.lower()}
-        ),
+        headers=end_to_end_headers,
         body=request.body,
         deadline_s=deadline_s,
+        api_keys=_read_api_keys(request.headers),
+        anonymous_headers=headers.select_anonymous(end_to_end_headers),
+    )
+
+
+def _read_api_keys(request_headers: HTTPHeaders) -> tuple[str, ...]:
+    """Return the value of each header that states a key."""
+    values = request_headers.get_list(headers.API_KEY)
+    # Bytes are read as Latin-1, but operators publish keys in UTF-8.
+    return tuple(
+        value.encode("latin-1").decode("utf-8", "surrogateescape")
+        for value in values
     )
 
 
+def _describe_error(error: Exception, request: HTTPServerRequest) -> str:
+    """Return a text about an error of a request.
+
+    The text of an error may repeat values of the request, escaped in ways that
+    cannot be foreseen. If a header may state a key, only the type and the place
+    of the error are given.
+    """
+    names = (name for name, _ in request.headers.get_all())
+    if not any(headers.states_identity(name) for name in names):
+        return repr(error)
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f" at {frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    return f"{type(error).__name__}{place}"
+
+
 class ReadinessServer:
     """HTTP server for the load balancer's readiness checks.
 
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -14,6 +14,7 @@
     plan_wait_s,
     retry_without_plan_s,
 )
+from berylspool.process.entry.forwarding.key_revocation import KeyRevocation
 from berylspool.process.entry.forwarding.lag import (
     TimerLag,
     early_margin_s,
@@ -29,9 +30,10 @@
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.fingerprint import hash64
 from berylspool.request.forward_request import ForwardRequest
-from berylspool.request.query import Outcome, Query, Reason, Refusal
+from berylspool.request.query import Outcome, Reason, Refusal
 from berylspool.request.request_task import RequestTask
 from berylspool.version.containment import CrashEvidence, is_convicted
+from berylspool.version.customer.identity import Unidentified, identify
 from berylspool.version.forwarding import (
     choose_target,
     find_route,
@@ -60,6 +62,7 @@
     Attributes:
         running: Requests that have no outcome yet.
         timer_lag: Lag of the timers of this process.
+        key_revocation: Watches the API keys of running requests.
     """
 
     def __init__(
@@ -76,6 +79,7 @@
         self._delegation = delegation
         self.running = RunningRequests(clock)
         self.timer_lag = TimerLag()
+        self.key_revocation = KeyRevocation()
         self._state = state
         self._router: Mailbox[Any] = router
         self._evidence = evidence
@@ -108,13 +112,25 @@
         if route is None:
             refusal = Refusal(request.id, Reason.UNKNOWN_ROUTE, True, 0.0)
             return self._record_refusal(refusal)
+        identity = identify(
+            view.plan.customers, route.is_public, request.api_keys
+        )
+        if isinstance(identity, Unidentified):
+            refusal = Refusal(request.id, Reason.UNKNOWN_KEY, True, 0.0)
+            return self._record_refusal(refusal)
         self._query_serial += 1
         serial = self._query_serial
         hedge_share = self._state.settings.routing.hedge_share
         early_s = early_margin_s(self.timer_lag, route.target_latency_s)
         arrived_at = stopwatch.started_at
         query = new_query(
-            request, route, serial, hedge_share, early_s, arrived_at
+            request,
+            route,
+            serial,
+            hedge_share,
+            early_s,
+            arrived_at,
+            identity,
         )
         if is_convicted(self._evidence, query.fingerprint):
             return self._record_refusal(
@@ -131,7 +147,9 @@
             router = self._delegation.choose_inbox(
                 route, len(pinned.services), len(request.body), router
             )
-        outcome = await self._run_request(query, pinned, router, caller_gone)
+        task = RequestTask(query, router, self._clock)
+        with self.key_revocation.track(task, request, route):
+            outcome = await self._run_request(task, pinned, caller_gone)
         record_outcome(
             self._metrics,
             self._log,
@@ -162,13 +180,8 @@
         return refusal
 
     async def _run_request(
-        self,
-        query: Query,
-        pinned: PinnedMap,
-        router: Mailbox[Any],
-        caller_gone: asyncio.Event,
+        self, task: RequestTask, pinned: PinnedMap, caller_gone: asyncio.Event
     ) -> Outcome:
-        task = RequestTask(query, router, self._clock)
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
         try:
             with self.running.track(task):
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -48,12 +48,16 @@
     TableChanged,
     UpstreamsListed,
 )
+from berylspool.process.entry.withdrawal import may_withdraw
+from berylspool.request.fanout_message import PartsWithdrawn
 from berylspool.request.part_message import (
     DiscardPart,
     Origin,
     RunPart,
+    RunParts,
     Subscribe,
     Unsubscribe,
+    WithdrawUnsent,
 )
 from berylspool.request.query import (
     PartFailed,
@@ -89,6 +93,7 @@
     | PoolMessage
     | Subscribe
     | Unsubscribe
+    | WithdrawUnsent
     | UpstreamsListed
     | SlownessJudged
 )
@@ -238,20 +243,38 @@
         match message:
             case PoolMessage():
                 self._pools.receive(message)
+            case ResultsReceived() | RunParts():
+                # The usual messages; the other classes are not compared.
+                self._route(message)
             case Subscribe(request_id=request_id, inbox=inbox):
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
                 self._inbox_by_request.pop(request_id, None)
+            case WithdrawUnsent():
+                self._withdraw(message)
             case UpstreamsListed(ids=ids):
                 self._pools.forget_unlisted(ids)
             case SlownessJudged():
                 self._pools.judge(message)
+            case TableChanged():
+                self._route(message)
+                self.member_table.publish(self.routing.active_table)
+                self._update_links(message)
             case _:
-                for action in step(self.routing, message, self._clock()):
-                    self._perform(action)
-                if isinstance(message, TableChanged):
-                    self.member_table.publish(self.routing.active_table)
-                    self._update_links(message)
+                self._route(message)
+
+    def _route(self, message: RoutingEvent) -> None:
+        for action in step(self.routing, message, self._clock()):
+            self._perform(action)
+
+    def _withdraw(self, wanted: WithdrawUnsent) -> None:
+        inbox = self._inbox_by_request.get(wanted.origin.id)
+        if inbox is not None and may_withdraw(
+            self.routing, self._pools.is_unsent, wanted.part_ids
+        ):
+            for part_id in wanted.part_ids:
+                self._handle(DiscardPart(part_id))
+            inbox.put(PartsWithdrawn())
 
     def _perform(self, action: RoutingAction) -> None:
         match action:
