--- a/berylspool/common/frame.py
+++ b/berylspool/common/frame.py
@@ -57,6 +57,11 @@
         self._class_by_tag = {cls.__name__: cls for cls in classes}
         self._adapter_by_tag: dict[str, TypeAdapter[Any]] = {}
 
+    def prepare(self) -> None:
+        """Create all validators, which the first messages would wait for."""
+        for tag in self._class_by_tag:
+            self._adapter(tag)
+
     def encode(self, messages: Iterable[Any]) -> bytes:
         """Encode messages as one frame.
 
--- a/berylspool/connection/message.py
+++ b/berylspool/connection/message.py
@@ -178,6 +178,8 @@
             may have run.
         response: Error response of an upstream to one of the failed parts, if
             there was one.
+        hedged: Positions of parts without a result that have been sent to as
+            many upstreams as may run them.
     """
 
     id: int
@@ -185,6 +187,7 @@
     refused: tuple[tuple[int, str, float], ...] = ()
     failed: tuple[tuple[int, str, int], ...] = ()
     response: UpstreamResponse | None = None
+    hedged: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/platform/settings.py
+++ b/berylspool/platform/settings.py
@@ -84,10 +84,12 @@
     Attributes:
         memory_mb: Memory of a process, in MB; 0 if no limit is stated.
         cpu_share: Share of a core that the VM has; 0 if none is stated.
+        cpu_cores: Speed of that core, as a multiple of the usual one.
     """
 
     memory_mb: float = 0.0
     cpu_share: float = Field(0.0, ge=0)
+    cpu_cores: float = Field(1.0, gt=0)
 
 
 class Cloud(PlatformModel):
@@ -233,7 +235,8 @@
             cold_factor=platform_settings.bounds.warmup_overshoot
             * USED_RATIO_SHARE,
             cold_slack=platform_settings.bounds.warmup_slack,
-            processor_share=platform_settings.limits.cpu_share,
+            processor_share=platform_settings.limits.cpu_share
+            * platform_settings.limits.cpu_cores,
         ),
     )
 
--- a/berylspool/process/entry/delegation/delegation.py
+++ b/berylspool/process/entry/delegation/delegation.py
@@ -8,7 +8,11 @@
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics
 from berylspool.connection.listen import listen
-from berylspool.connection.message import Member, MemberTable
+from berylspool.connection.message import (
+    Member,
+    MemberTable,
+    make_delegation_codec,
+)
 from berylspool.exception import ListenError
 from berylspool.process.entry.delegation.delegator import (
     Delegator,
@@ -57,12 +61,14 @@
         log: Callable[[Event], None],
         metrics: Metrics,
     ) -> None:
+        self._codec = make_delegation_codec()
         self.delegator = Delegator(
             name,
             router.inbox,
             clock=clock,
             log=log,
             metrics=metrics,
+            codec=self._codec,
             ping_s=PING_INTERVAL_S,
         )
         self._monitor = TurnMonitor(clock)
@@ -72,6 +78,7 @@
             clock=clock,
             log=log,
             metrics=metrics,
+            codec=self._codec,
             ping_s=PING_INTERVAL_S,
         )
         self._name = name
@@ -125,6 +132,9 @@
         except ListenError as error:
             # The entry divides its own requests all the same.
             self._log(LinkChanged(self._name, str(error)))
+        # The validators take some 30 ms of a core. A first slice that waited
+        # for them would be taken for late.
+        self._codec.prepare()
         monitor = asyncio.ensure_future(self._monitor.run())
         try:
             await self.delegator.run()
--- a/berylspool/process/entry/delegation/delegator.py
+++ b/berylspool/process/entry/delegation/delegator.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from berylspool.common.event import Event, LinkChanged
+from berylspool.common.frame import Codec
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics, increment_counter
 from berylspool.common.request_event import HelperSuspended, SliceTakenBack
@@ -15,7 +16,6 @@
     SliceAccepted,
     SliceRefused,
     SliceResults,
-    make_delegation_codec,
 )
 from berylspool.connection.peer import Link
 from berylspool.process.entry.delegation.division import (
@@ -128,6 +128,7 @@
         clock: Returns the monotonic time in seconds.
         log: Called with each log event.
         metrics: Metrics of the process.
+        codec: Codec of the links.
         ping_s: Time after which an idle link carries a `Ping`, in seconds.
 
     Attributes:
@@ -144,6 +145,7 @@
         clock: Callable[[], float],
         log: Callable[[Event], None],
         metrics: Metrics,
+        codec: Codec,
         ping_s: float,
     ) -> None:
         self.inbox: Mailbox[DelegatorMessage] = Mailbox()
@@ -154,6 +156,7 @@
         self._log = log
         self._metrics = metrics
         self._ping_s = ping_s
+        self._codec = codec
         self._slices = Slices()
         self._link_by_member: dict[Member, Link] = {}
         self._task_by_member: dict[Member, asyncio.Task[None]] = {}
@@ -339,7 +342,7 @@
             self._name,
             member.host,
             member.port,
-            make_delegation_codec(),
+            self._codec,
             sink=lambda message: self._handle_reply(name, message),
             on_open=lambda: self.inbox.put(HelperLinked(name)),
             on_close=lambda: self.inbox.put(HelperLost(name)),
--- a/berylspool/process/entry/delegation/helper.py
+++ b/berylspool/process/entry/delegation/helper.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from berylspool.common.event import Event, LinkChanged, RequestServed
+from berylspool.common.frame import Codec
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics, increment_counter
 from berylspool.common.request_event import RequestEnded
@@ -15,7 +16,6 @@
     SliceDropped,
     SliceProbe,
     SliceRefused,
-    make_delegation_codec,
 )
 from berylspool.connection.peer import LinkServer, Session
 from berylspool.exception import ProtocolError
@@ -48,9 +48,10 @@
 PARTS_PER_TURN = 5
 # Until its target, the first entry waits for all parts, so answers may wait for
 # the others of their slice: a frame costs as much as running a part. Those so
-# far are sent at these shares of the target, to show that the helper runs and
-# before the target; later ones are sent at once.
-FLUSH_SHARES = (0.35, 0.7)
+# far are sent at these shares of the target, with the parts that were hedged by
+# then, to show that the helper runs and before the target; later ones are sent
+# at once. Hedges go out at 0.36 of the target (`hedge_share`).
+FLUSH_SHARES = (0.42, 0.7)
 MS_PER_S = 1000.0
 
 
@@ -111,6 +112,7 @@
         clock: Returns the monotonic time in seconds.
         log: Called with each log event.
         metrics: Metrics of the process.
+        codec: Codec of the links.
         ping_s: Time after which an idle link carries a `Ping`, in seconds.
 
     Attributes:
@@ -126,10 +128,11 @@
         clock: Callable[[], float],
         log: Callable[[Event], None],
         metrics: Metrics,
+        codec: Codec,
         ping_s: float,
     ) -> None:
         self.server = LinkServer(
-            make_delegation_codec(),
+            codec,
             sink=self._handle,
             on_session_end=self._handle_session_end,
             ping_s=ping_s,
@@ -179,7 +182,7 @@
         self._slice_by_key[key] = slice
         loop = asyncio.get_running_loop()
         slice.timers = [
-            loop.call_later(share * slice.target_s, self._flush, key)
+            loop.call_later(share * slice.target_s, self._report, key)
             for share in FLUSH_SHARES
         ]
         self._count("accepted")
@@ -261,6 +264,19 @@
             held, slice.held = slice.held, []
             slice.session.inbox.put(encode_results(slice.id, held))
 
+    def _report(self, key: tuple[str, int]) -> None:
+        """Send the results that are held, and which parts were hedged."""
+        slice = self._slice_by_key[key]
+        held, slice.held = slice.held, []
+        hedged = tuple(
+            index
+            for index, part in slice.place_by_part.values()
+            if self._router.has_reached_limit(
+                (part.service, part.snapshot.version), part.id
+            )
+        )
+        slice.session.inbox.put(encode_results(slice.id, held, hedged))
+
     def _drop(self, key: tuple[str, int], is_caller_gone: bool) -> None:
         slice = self._slice_by_key.get(key)
         if slice is None:
--- a/berylspool/process/entry/delegation/slice_codec.py
+++ b/berylspool/process/entry/delegation/slice_codec.py
@@ -87,13 +87,17 @@
 
 
 def encode_results(
-    id: int, results: Iterable[tuple[int, Part, PartResult]]
+    id: int,
+    results: Iterable[tuple[int, Part, PartResult]],
+    hedged: tuple[int, ...] = (),
 ) -> SliceResults:
     """Return the message with results of parts of a slice.
 
     Args:
         id: Number of the slice.
         results: Position, part and result of each part.
+        hedged: Positions of parts without a result that have been sent to as
+            many upstreams as may run them.
     """
     rows: list[tuple[int, int, str, bytes]] = []
     refused: list[tuple[int, str, float]] = []
@@ -112,7 +116,7 @@
                 failed.append((index, reason.value, attempts))
                 response = _within_limit(result.response) or response
     return SliceResults(
-        id, tuple(rows), tuple(refused), tuple(failed), response
+        id, tuple(rows), tuple(refused), tuple(failed), response, hedged
     )
 
 
--- a/berylspool/process/entry/delegation/slice_state.py
+++ b/berylspool/process/entry/delegation/slice_state.py
@@ -21,6 +21,8 @@
         sent_at: Time of sending, monotonic seconds.
         is_accepted: Whether the helper has accepted it.
         is_probed: Whether the helper was asked whether it still runs it.
+        hedged: Positions of parts that the helper has sent to as many
+            upstreams as may run them.
         due_at: Time at which an answer is overdue, or the helper is to be
             asked, monotonic seconds; infinite for none.
     """
@@ -32,6 +34,7 @@
     sent_at: float
     is_accepted: bool = False
     is_probed: bool = False
+    hedged: set[int] = field(default_factory=set)
     due_at: float = float("inf")
 
 
--- a/berylspool/process/entry/delegation/slices.py
+++ b/berylspool/process/entry/delegation/slices.py
@@ -64,12 +64,15 @@
 __all__ = ["step"]
 
 # A frame takes 0.2 ms within a zone, and a turn of a busy entry some 5 ms.
-ANSWER_TIMEOUT_S = 0.01
-# After half of the target, a part that starts here may still answer in time.
-GIVE_UP_SHARE = 0.5
-# Helpers send what they have at 0.35 of the target, so that they need not be
+ACCEPT_TIMEOUT_S = 0.015
+# Longer, as the parts may have been hedged by now and run once more.
+PROBE_TIMEOUT_S = 0.02
+# A helper that runs has sent what it has by then. A part that starts here a
+# little later may still answer in time.
+ASK_SHARE = 0.5
+# Helpers send what they have at 0.42 of the target, so that they need not be
 # asked.
-HEARD_SHARE = 0.3
+HEARD_SHARE = 0.4
 # One upstream has got the part, or may have.
 ATTEMPTS_LEFT = 1
 # The helper lacks what the first entry has, such as a newer plan, or stops.
@@ -143,7 +146,7 @@
     slices.place_by_part.update(
         {part.id: (slice, index) for index, part in enumerate(parts)}
     )
-    set_due(slices, slice, now + ANSWER_TIMEOUT_S)
+    set_due(slices, slice, now + ACCEPT_TIMEOUT_S)
     return [SendToHelper(helper, encode_slice(slice.id, parts))]
 
 
@@ -180,10 +183,7 @@
     if slice.is_probed:
         slice.due_at = float("inf")
     elif not slice.is_accepted:
-        ask_after_s = max(
-            target_s(slice) * GIVE_UP_SHARE - ANSWER_TIMEOUT_S,
-            ANSWER_TIMEOUT_S,
-        )
+        ask_after_s = target_s(slice) * ASK_SHARE
         set_due(slices, slice, slice.sent_at + ask_after_s)
     slice.is_accepted = True
 
@@ -193,6 +193,8 @@
 ) -> list[SliceAction]:
     results: list[PartResult] = []
     place_by_part, pending = slices.place_by_part, slice.pending_by_index
+    if message.hedged:
+        slice.hedged.update(message.hedged)
     for row in message.rows:
         part = pending.pop(row[0], None)
         if part is not None:
@@ -296,7 +298,7 @@
             actions += _take_back(slices, slice, Cause.LATE, now)
         elif not slice.is_probed:
             slice.is_probed = True
-            set_due(slices, slice, now + ANSWER_TIMEOUT_S)
+            set_due(slices, slice, now + PROBE_TIMEOUT_S)
             actions.append(SendToHelper(slice.helper, SliceProbe(slice.id)))
         else:
             actions += _take_back(slices, slice, Cause.SILENT, now)
@@ -306,15 +308,25 @@
 def _take_back(
     slices: Slices, slice: Slice, cause: Cause, now: float
 ) -> list[SliceAction]:
-    """Run the parts without a result at this entry."""
+    """Run the parts without a result at this entry.
+
+    Parts that the helper has hedged fail: no further upstream may run them.
+    """
     is_refused = cause is Cause.REFUSED and not slice.is_accepted
     attempts = None if is_refused else ATTEMPTS_LEFT
-    parts = [
-        _part_here(slice, part, now, attempts, is_extra=slice.is_accepted)
-        for part in slice.pending_by_index.values()
-    ]
+    parts, hedged = [], []
+    for index, part in slice.pending_by_index.items():
+        if index in slice.hedged:
+            copies = part.forward.attempts if part.forward else 1
+            hedged.append(PartFailed(part.id, Reason.CONNECTION_LOST, copies))
+            continue
+        parts.append(
+            _part_here(slice, part, now, attempts, is_extra=slice.is_accepted)
+        )
     _end_slice(slices, slice)
     actions: list[SliceAction] = []
+    if hedged:
+        actions.append(Deliver(slice.request_id, list(hedged)))
     if cause in (Cause.LATE, Cause.SILENT):
         actions.append(SendToHelper(slice.helper, SliceDropped(slice.id)))
     suspended_s = on_failure(_health(slices, slice.helper), cause, now)
@@ -325,7 +337,8 @@
         slice.request_id, slice.helper, cause, len(parts), slice.is_accepted
     )
     actions.append(LogSlice(taken_back))
-    actions.append(RunHere(slice.request_id, parts, not is_refused))
+    if parts:
+        actions.append(RunHere(slice.request_id, parts, not is_refused))
     return actions
 
 
--- a/berylspool/process/entry/delegation/tests/test_helper.py
+++ b/berylspool/process/entry/delegation/tests/test_helper.py
@@ -10,6 +10,7 @@
     SliceProbe,
     SliceRefused,
     SliceResults,
+    make_delegation_codec,
 )
 from berylspool.process.entry.delegation.helper import FLUSH_SHARES, Helper
 from berylspool.process.entry.delegation.slice_codec import encode_slice
@@ -36,6 +37,10 @@
         self.routing.pool_keys = {
             (part.service, part.snapshot.version) for part in known_parts
         }
+        self.hedged_part_ids = set()
+
+    def has_reached_limit(self, key, part_id):
+        return part_id in self.hedged_part_ids
 
 
 class FakeSession:
@@ -60,6 +65,7 @@
             clock=lambda: self.now,
             log=self.logged.append,
             metrics=Metrics(),
+            codec=make_delegation_codec(),
             ping_s=1.0,
         )
 
@@ -215,6 +221,20 @@
     ]
 
 
+def test_hedged_parts_are_reported_soon_after_their_hedges():
+    """The first entry would run them at a third upstream if this one dies."""
+
+    async def scenario(setup):
+        inbox, parts = await start_slice(setup)
+        setup.router.hedged_part_ids = {parts[1].id, parts[0].id}
+        inbox.put_all(make_rows(parts[:1]))
+        await asyncio.sleep(TARGET_S * (FLUSH_SHARES[0] + 0.1))
+        return setup.sent()
+
+    expected = SliceResults(3, rows=((0, *ROW),), hedged=(1,))
+    assert run(scenario) == [expected]
+
+
 def test_end_of_a_session_drops_its_parts():
     async def scenario(setup):
         setup.hear(encode_slice(3, setup.parts))
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -234,6 +234,10 @@
                 SlownessJudged(judgement.id, judgement.slowness, now + valid_s)
             )
 
+    def has_reached_limit(self, key: PoolKey, part_id: str) -> bool:
+        """Return whether a part was sent to as many upstreams as may run it."""
+        return self._pools.has_reached_limit(key, part_id)
+
     def _return_results(self) -> None:
         if self._results:
             results, self._results = self._results, []
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -215,6 +215,14 @@
         job = running.pool.job_by_part.get(part_id) if running else None
         return job is not None and not job.sends
 
+    def has_reached_limit(self, key: PoolKey, part_id: str) -> bool:
+        """Return whether a part was sent to as many upstreams as may run it."""
+        running = self._running_by_key.get(key)
+        job = running.pool.job_by_part.get(part_id) if running else None
+        if job is None or job.part.forward is None:
+            return False
+        return job.sends - job.refusals >= job.part.forward.attempts
+
     def judge(self, judged: SlownessJudged) -> None:
         """Tell the pools of an upstream how all entries judge it."""
         for key, running in list(self._running_by_key.items()):
