--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -267,6 +267,7 @@
         attempts=route.max_attempts,
         hedge_after_s=(route.target_latency_s or timeout_s) * hedge_share,
         rank=route.rank if customer.rank is None else customer.rank,
+        target_latency_s=route.target_latency_s,
         customer=customer.name,
     )
     soft_deadline = None
