--- a/berylspool/connection/message.py
+++ b/berylspool/connection/message.py
@@ -145,9 +145,15 @@
 
 @dataclass(frozen=True, slots=True)
 class SliceAccepted:
-    """The helper runs the slice; also its answer to a `SliceProbe`."""
+    """The helper runs the slice; also its answer to a `SliceProbe`.
+
+    Attributes:
+        id: Number of the slice.
+        hedged: As in `SliceResults`.
+    """
 
     id: int
+    hedged: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/process/entry/delegation/helper.py
+++ b/berylspool/process/entry/delegation/helper.py
@@ -150,9 +150,12 @@
             case RunSlice():
                 self._accept(session, message)
             case SliceProbe(id=id):
-                is_running = (session.id, id) in self._slice_by_key
-                reply = SliceAccepted(id) if is_running else SliceRefused(id)
-                session.inbox.put(reply)
+                slice = self._slice_by_key.get((session.id, id))
+                session.inbox.put(
+                    SliceAccepted(id, self._find_hedged(slice))
+                    if slice is not None
+                    else SliceRefused(id)
+                )
             case SliceDropped(id=id, is_caller_gone=is_caller_gone):
                 self._drop((session.id, id), is_caller_gone)
 
@@ -268,14 +271,18 @@
         """Send the results that are held, and which parts were hedged."""
         slice = self._slice_by_key[key]
         held, slice.held = slice.held, []
-        hedged = tuple(
+        hedged = self._find_hedged(slice)
+        slice.session.inbox.put(encode_results(slice.id, held, hedged))
+
+    def _find_hedged(self, slice: _RunningSlice) -> tuple[int, ...]:
+        """Return the parts that no further upstream may run."""
+        return tuple(
             index
             for index, part in slice.place_by_part.values()
             if self._router.has_reached_limit(
                 (part.service, part.snapshot.version), part.id
             )
         )
-        slice.session.inbox.put(encode_results(slice.id, held, hedged))
 
     def _drop(self, key: tuple[str, int], is_caller_gone: bool) -> None:
         slice = self._slice_by_key.get(key)
--- a/berylspool/process/entry/delegation/slices.py
+++ b/berylspool/process/entry/delegation/slices.py
@@ -64,9 +64,10 @@
 __all__ = ["step"]
 
 # A frame takes 0.2 ms within a zone, and a turn of a busy entry some 5 ms.
-ACCEPT_TIMEOUT_S = 0.015
-# Longer, as the parts may have been hedged by now and run once more.
-PROBE_TIMEOUT_S = 0.02
+ACCEPT_TIMEOUT_S = 0.025
+# Only a helper that is frozen or gone takes so long. One that is late may hedge
+# parts that would then meet a third upstream, and answers them itself.
+PROBE_TIMEOUT_S = 0.25
 # A helper that runs has sent what it has by then. A part that starts here a
 # little later may still answer in time.
 ASK_SHARE = 0.5
@@ -166,7 +167,8 @@
         _health(slices, helper), in_time=not isinstance(message, SliceRefused)
     )
     match message:
-        case SliceAccepted():
+        case SliceAccepted(hedged=hedged):
+            slice.hedged.update(hedged)
             _accept(slices, slice)
             return []
         case SliceRefused():
