Duties: decisions, replicated state and settings

The platform has calls that one node at a time may make, with a fencing token, and expects a report of usage for each window of time.

`version/duty` decides who holds the duty, what is recorded and which call is due; the holder and the recorded content are part of the replicated state, by the changes TakeDuty, RecordUsage and ConfirmUsage. All of it is off unless `cloud.duties` names `usage_report`.

--- a/berylspool/common/event_catalogue.py
+++ b/berylspool/common/event_catalogue.py
@@ -1,6 +1,7 @@
 """All log events by their number."""
 
 from berylspool.common import (  # noqa: F401  (define events)
+    duty_event,
     part_event,
     request_event,
 )
--- a/berylspool/platform/settings.py
+++ b/berylspool/platform/settings.py
@@ -11,6 +11,7 @@
 from berylspool.platform.model import PlatformModel
 from berylspool.process.settings import (
     ControlSettings,
+    DutySettings,
     EntrySettings,
     MemoryLimits,
     RoutingSettings,
@@ -68,6 +69,11 @@
         warmup_overshoot: Maximum request rate to a cold upstream, as a
             multiple of the rate that it can serve.
         warmup_slack: Requests in any second allowed beyond that.
+        report_window_s: Length of a window of usage, in seconds.
+        usage_late_s: Time after the end of a window at which its report is
+            due, in seconds.
+        lease_ms: Time in which the holder of a duty must not change back and
+            forth, in milliseconds.
     """
 
     grace_s: float = 6.0
@@ -76,6 +82,9 @@
     budget_window_s: float = 10.0
     warmup_overshoot: float = 1.0
     warmup_slack: float = 0.0
+    report_window_s: float = 5.0
+    usage_late_s: float = 10.0
+    lease_ms: float = 3000.0
 
 
 class Limits(PlatformModel):
@@ -89,13 +98,17 @@
 
 
 class Cloud(PlatformModel):
-    """The platform's list of upstreams.
+    """The platform's list of upstreams, and the calls of duties.
 
     Attributes:
         address: Address of its server, as `host:port`.
+        duties: Calls that one node at a time may make, by name.
+        duty_per_s: Such calls a second that it accepts from all nodes.
     """
 
     address: str
+    duties: tuple[str, ...] = ()
+    duty_per_s: float = 50.0
 
 
 class PlatformSettings(PlatformModel):
@@ -232,6 +245,14 @@
             * USED_RATIO_SHARE,
             cold_slack=platform_settings.bounds.warmup_slack,
         ),
+        duties=DutySettings(
+            names=platform_settings.cloud.duties,
+            holder=platform_settings.node_name,
+            calls_per_s=max(platform_settings.cloud.duty_per_s, 1.0),
+            window_s=platform_settings.bounds.report_window_s,
+            late_s=platform_settings.bounds.usage_late_s,
+            lease_s=platform_settings.bounds.lease_ms / MS_PER_S,
+        ),
     )
 
 
--- a/berylspool/platform/tests/test_settings.py
+++ b/berylspool/platform/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""Limits of the VM in the platform's settings file."""
+"""Limits of the VM and duties in the platform's settings file."""
 
 import orjson
 import pytest
@@ -7,8 +7,10 @@
     MIN_MEMORY_MB,
     read_settings,
     to_memory_limits,
+    to_settings,
 )
-from berylspool.process.settings import MemoryLimits
+from berylspool.process.settings import DutySettings, MemoryLimits
+from berylspool.version.duty.schedule import DutyTiming
 
 SETTINGS = {
     "node-name": "front-1",
@@ -36,3 +38,41 @@
     fields = SETTINGS if limits is None else {**SETTINGS, "limits": limits}
     path.write_bytes(orjson.dumps(fields))
     assert to_memory_limits(read_settings(path)).megabytes == megabytes
+
+
+def read_duties(tmp_path, **fields):
+    path = tmp_path / "settings.json"
+    path.write_bytes(orjson.dumps({**SETTINGS, **fields}))
+    return to_settings(read_settings(path)).duties
+
+
+def test_duties_are_off_unless_the_settings_name_them(tmp_path):
+    assert not read_duties(tmp_path).reports_usage
+    cloud = {"address": "10.0.0.9:80", "duties": ["other_duty"]}
+    assert not read_duties(tmp_path, cloud=cloud).reports_usage
+
+
+def test_duties_are_read_from_the_settings(tmp_path):
+    cloud = {
+        "address": "10.0.0.9:80",
+        "duties": ["usage_report"],
+        "duty-per-s": 40,
+    }
+    bounds = {
+        "report-window-s": 4,
+        "usage-late-s": 8,
+        "usage-tolerance": 0.05,
+        "lease-ms": 2500,
+        "require-fencing": True,
+    }
+    duties = read_duties(tmp_path, cloud=cloud, bounds=bounds)
+    assert duties == DutySettings(
+        names=("usage_report",),
+        holder="front-1",
+        calls_per_s=40,
+        window_s=4,
+        late_s=8,
+        lease_s=2.5,
+    )
+    assert duties.reports_usage
+    assert duties.timing == DutyTiming(4.0, 8.0, 2.5, 40.0)
--- a/berylspool/process/group/state_machine.py
+++ b/berylspool/process/group/state_machine.py
@@ -21,6 +21,16 @@
     SettleKind,
 )
 from berylspool.version.configuration import Configuration
+from berylspool.version.duty.record import (
+    ConfirmUsage,
+    DutyHolder,
+    RecordUsage,
+    TakeDuty,
+    UsageRecords,
+    confirm_usage,
+    record_usage,
+    take_duty,
+)
 from berylspool.version.operation import (
     operation_codec,
 )
@@ -79,7 +89,9 @@
     table: MemberTable
 
 
-Change = Configure | Intend | Settle | Seat
+Change = (
+    Configure | Intend | Settle | Seat | TakeDuty | RecordUsage | ConfirmUsage
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,6 +142,8 @@
         entry_by_key: Ledger entries by idempotency key, oldest first.
         active: Active member table; its owners admit requests.
         proposed: Newer member table that is not active yet, or None.
+        holder_by_duty: Holder of each duty.
+        usage: Reports of usage.
     """
 
     configuration: Configuration = field(default_factory=Configuration)
@@ -138,6 +152,8 @@
     entry_by_key: dict[str, LedgerEntry] = field(default_factory=dict)
     active: MemberTable = field(default_factory=MemberTable)
     proposed: MemberTable | None = None
+    holder_by_duty: dict[str, DutyHolder] = field(default_factory=dict)
+    usage: UsageRecords = field(default_factory=UsageRecords)
 
 
 OPERATION_CODEC = operation_codec()
@@ -146,7 +162,8 @@
 
 def change_codec() -> Codec:
     """Return the codec of the changes in a log record."""
-    return Codec([Configure, Intend, Settle, Seat])
+    classes = [Configure, Intend, Settle, Seat]
+    return Codec([*classes, TakeDuty, RecordUsage, ConfirmUsage])
 
 
 def encode_state(state: ControlState) -> bytes:
@@ -179,7 +196,8 @@
         change: Change from the log.
 
     Returns:
-        The answer for the proposer; None for a member table.
+        The answer for the proposer; None for a change that the leader makes on
+        its own.
     """
     match change:
         case Configure():
@@ -190,7 +208,13 @@
             return _apply_settle(state, change)
         case Seat(table=table):
             _apply_seat(state, table)
-            return None
+        case TakeDuty():
+            take_duty(state.holder_by_duty, state.usage, change)
+        case RecordUsage():
+            record_usage(state.usage, change)
+        case ConfirmUsage():
+            confirm_usage(state.usage, change)
+    return None
 
 
 def _apply_configure(state: ControlState, change: Configure) -> CommandAnswer:
--- a/berylspool/process/group/tests/test_state_machine.py
+++ b/berylspool/process/group/tests/test_state_machine.py
@@ -1,5 +1,6 @@
 """Replicated state machine: concurrent and retried commands, the ledger."""
 
+import msgpack
 import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -10,12 +11,21 @@
     Configure,
     ControlState,
     apply_change,
+    change_codec,
     decode_state,
     encode_state,
 )
 from berylspool.request.ledger import Intend, LedgerDecision, Settle, SettleKind
 from berylspool.tests.fuzzing import fuzzing_finds_failure
 from berylspool.version.configuration import ZoneState
+from berylspool.version.duty.record import (
+    USAGE_REPORT,
+    ConfirmUsage,
+    DutyHolder,
+    RecordUsage,
+    TakeDuty,
+    UsageRecords,
+)
 from berylspool.version.operation import (
     CreateZone,
     SetZone,
@@ -186,3 +196,35 @@
 def test_fuzzing_catches_planted_fault(name, replacement, monkeypatch):
     monkeypatch.setattr(state_machine, name, replacement)
     assert fuzzing_finds_failure(LedgerMachine)
+
+
+DUTY_CHANGES = [
+    TakeDuty(USAGE_REPORT, "a", 1, 7),
+    TakeDuty(USAGE_REPORT, "b", 2, 9, 4),
+    RecordUsage(7, {"x": 2}),
+    RecordUsage(8, {}),
+    ConfirmUsage(7),
+]
+
+
+def test_duties_survive_the_log_and_a_snapshot():
+    # Guards against a node that has another state after a restart.
+    body = change_codec().encode(DUTY_CHANGES)[HEADER_BYTES:]
+    state = ControlState()
+    for change in change_codec().decode(body):
+        apply_change(state, change)
+    assert state.holder_by_duty == {USAGE_REPORT: DutyHolder("b", 5, 2)}
+    assert state.usage == UsageRecords(9, {8: {}}, 7)
+    assert decode_state(encode_state(state)) == state
+
+
+def test_state_of_an_earlier_build_loads_without_duties():
+    state = ControlState()
+    apply_change(state, configure("c1", 0, CreateZone("a")))
+    [[tag, fields]] = msgpack.unpackb(encode_state(state), strict_map_key=False)
+    del fields["holder_by_duty"], fields["usage"]
+    loaded = decode_state(msgpack.packb([[tag, fields]]))
+    assert loaded == state
+    for change in DUTY_CHANGES:
+        apply_change(loaded, change)
+    assert loaded.usage.next_window == 9
--- a/berylspool/process/settings.py
+++ b/berylspool/process/settings.py
@@ -6,6 +6,8 @@
 from pydantic import Field, SecretStr, ValidationError
 
 from berylspool.exception import ConfigurationError, SettingsError
+from berylspool.version.duty.record import USAGE_REPORT
+from berylspool.version.duty.schedule import DutyTiming
 from berylspool.version.schema import (
     ADDRESS_PATTERN,
     ConfigurationModel,
@@ -15,6 +17,7 @@
 
 __all__ = [
     "ControlSettings",
+    "DutySettings",
     "EntrySettings",
     "LogSettings",
     "MemoryLimits",
@@ -173,6 +176,39 @@
     record: str = ""
 
 
+class DutySettings(StrictModel):
+    """Duties: calls to the platform that one node at a time may make.
+
+    Attributes:
+        names: Duties that exist; without any, no such call is made.
+        holder: Name of this node in its calls.
+        calls_per_s: Calls a second that the platform accepts from all nodes.
+        window_s: Length of a window of usage, in seconds.
+        late_s: Time after the end of a window at which its report is due, in
+            seconds.
+        lease_s: Time from becoming the leader to the first call, in seconds.
+    """
+
+    names: tuple[str, ...] = ()
+    holder: str = ""
+    calls_per_s: float = Field(50.0, gt=0)
+    window_s: float = Field(5.0, gt=0)
+    late_s: float = Field(10.0, gt=0)
+    lease_s: float = Field(3.0, ge=0)
+
+    @property
+    def reports_usage(self) -> bool:
+        """Whether usage is counted and reported."""
+        return USAGE_REPORT in self.names
+
+    @property
+    def timing(self) -> DutyTiming:
+        """The times for decisions."""
+        return DutyTiming(
+            self.window_s, self.late_s, self.lease_s, self.calls_per_s
+        )
+
+
 class Settings(StrictModel):
     """Settings of a deployment.
 
@@ -187,6 +223,7 @@
         tokens: Administration token of each role.
         lease_s: Length of an entry's lease on the configuration, in seconds.
         event_loop: Event loop of all processes.
+        duties: Calls that one node at a time may make.
     """
 
     entries: dict[str, EntrySettings] = {}
@@ -198,6 +235,7 @@
     tokens: dict[Literal["read", "change"], SecretStr] = {}
     lease_s: float = Field(2.0, gt=0.2, le=60)
     event_loop: Literal["uvloop", "asyncio"] = "uvloop"
+    duties: DutySettings = DutySettings()
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -105,6 +105,7 @@
         hedge_after_s: Time without an answer after which a second copy is
             sent, in seconds; None for no second copy.
         rank: Priority of its route; 0 is the most urgent.
+        customer: Name of the customer; empty if there is none.
     """
 
     method: str
@@ -115,6 +116,7 @@
     attempts: int = 1
     hedge_after_s: float | None = None
     rank: int = 0
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/berylspool/version/duty/__init__.py
@@ -0,0 +1,1 @@
+"""Duties: who may make their calls, and what is due."""
