The control leader collects usage and reports it

The leader stores the counts that come with heartbeats, confirms them in its grants, records a window 6 s after its end, and hands calls to a task of its own, which owns the connection to the platform and checks just before each write that this node still leads with the newest token.

A control node of an earlier build ends when it applies a change that it does not know, so the first token is taken only when all linked members state in their Hello that they apply it.

--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -1,6 +1,7 @@
 """Metrics: cheap counters on the request path, rendered on a scrape."""
 
 from collections import Counter as SeriesCounter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from hdrh.histogram import HdrHistogram
@@ -14,6 +15,7 @@
     "record_latency",
     "render_exposition",
     "set_gauge",
+    "set_gauges",
 ]
 
 MAX_LATENCY_US = 60_000_000
@@ -48,6 +50,14 @@
     "berylspool_hedges_total": "Copies sent beyond the first, by service.",
     "berylspool_grant_age_seconds": "Time since the last grant of a leader.",
     "berylspool_quorum_contact": "Whether this node leads with a quorum.",
+    "berylspool_duty_calls_total": "Calls of duties, by duty and outcome.",
+    "berylspool_duty_held": "Whether this node holds the duties.",
+    "berylspool_duty_token": "Newest fencing token of the usage report.",
+    "berylspool_usage_report_age_seconds": (
+        "Time since the end of the latest window that was reported."
+    ),
+    "berylspool_usage_reported_window": "Latest window that was reported.",
+    "berylspool_usage_waiting_windows": "Recorded windows not yet reported.",
 }
 
 
@@ -99,6 +109,12 @@
     metrics.gauge_by_series[make_series(name, **labels)] = value
 
 
+def set_gauges(metrics: Metrics, value_by_name: Mapping[str, float]) -> None:
+    """Set gauges without labels."""
+    for name, value in value_by_name.items():
+        set_gauge(metrics, name, value)
+
+
 def record_latency(metrics: Metrics, route: str, latency_s: float) -> None:
     """Record one response time.
 
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -12,6 +12,7 @@
 )
 from berylspool.request.ledger import Intend, LedgerReply, Settle
 from berylspool.version.configuration import Configuration
+from berylspool.version.duty.counting import WindowUsage
 from berylspool.version.listing import ListedUpstream, Listing
 from berylspool.version.upstream.slow_upstreams import (
     SlownessJudgement,
@@ -101,6 +102,7 @@
         accepts_packed: Whether the entry accepts `Packed` messages, and
             judgements on upstreams.
         observed: What the entry has observed of upstreams.
+        usage: Counts of requests that the leader has not confirmed.
     """
 
     member: Member
@@ -117,6 +119,7 @@
     wanted: tuple[ExtraCopies, ...] = ()
     accepts_packed: bool = False
     observed: tuple[SlownessReport, ...] = ()
+    usage: tuple[WindowUsage, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,6 +135,8 @@
         convicted: Fingerprints that any entry has convicted.
         lent: Copies lent for each that the heartbeat asked for, possibly
             fewer.
+        usage_confirmed: Term of the leader, which has stored the `usage` of the
+            heartbeat; 0 if it collects none.
     """
 
     sent_at: float
@@ -141,6 +146,7 @@
     controls: tuple[str, ...] = ()
     convicted: tuple[str, ...] = ()
     lent: tuple[ExtraCopies, ...] = ()
+    usage_confirmed: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/connection/message.py
+++ b/berylspool/connection/message.py
@@ -12,6 +12,7 @@
 from berylspool.version.pool.message import Blame
 
 __all__ = [
+    "CHANGE_LEVEL",
     "PROTOCOL_VERSION",
     "AskPart",
     "DropPart",
@@ -24,6 +25,9 @@
 ]
 
 PROTOCOL_VERSION = 1
+# Kinds of changes of the replicated state that this build applies: 1 adds those
+# of duties. A node of an earlier build ends when it meets one.
+CHANGE_LEVEL = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,10 +37,12 @@
     Attributes:
         name: Name of the process that connects.
         protocol: Latest protocol version that it supports.
+        change_level: Latest kinds of changes that it can apply.
     """
 
     name: str
     protocol: int = PROTOCOL_VERSION
+    change_level: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/connection/peer.py
+++ b/berylspool/connection/peer.py
@@ -12,6 +12,7 @@
 from berylspool.common.mailbox import Mailbox
 from berylspool.connection.dialing import open_stream
 from berylspool.connection.message import (
+    CHANGE_LEVEL,
     PROTOCOL_VERSION,
     Hello,
     Ping,
@@ -126,7 +127,8 @@
             try:
                 stream = await open_stream(self._host, self._port)
                 stream.set_nodelay(True)
-                await stream.write(self._codec.encode([Hello(self._name)]))
+                hello = Hello(self._name, change_level=CHANGE_LEVEL)
+                await stream.write(self._codec.encode([hello]))
                 self._on_open()
                 backoff_s = INITIAL_BACKOFF_S
                 await _run_stream(stream, self._codec, self.inbox, self._sink)
@@ -154,12 +156,14 @@
         id: Id of the session.
         inbox: Messages to the peer.
         peer: Name of the peer; empty until its `Hello` arrives.
+        change_level: Latest kinds of changes that the peer can apply.
     """
 
     def __init__(self, id: str, stream: IOStream, codec: Codec) -> None:
         self.id = id
         self.inbox: Mailbox[Any] = Mailbox()
         self.peer = ""
+        self.change_level = 0
         self._stream = stream
         self._codec = codec
 
@@ -176,7 +180,7 @@
         try:
             async with asyncio.timeout(RECEIVE_TIMEOUT_S):
                 hello = await self._read_hello()
-            self.peer = hello.name
+            self.peer, self.change_level = hello.name, hello.change_level
             await _run_stream(
                 self._stream,
                 self._codec,
--- a/berylspool/platform/headers.py
+++ b/berylspool/platform/headers.py
@@ -4,6 +4,8 @@
 
 __all__ = [
     "EXPECT_INSTANCE",
+    "FENCING_TOKEN",
+    "LEASE_HOLDER",
     "MISSING_PARTS",
     "NOT_EXECUTED",
     "PART_STAMPS",
@@ -37,6 +39,9 @@
 PART_STAMPS = "X-Part-Stamps"
 # Number of shards that a merged answer does not cover.
 MISSING_PARTS = "X-Missing-Parts"
+# Node that makes a call of a duty, and the token that fences off others.
+LEASE_HOLDER = "X-Lease-Holder"
+FENCING_TOKEN = "X-Fencing-Token"
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and the content length, which
 # each hop states itself.
--- a/berylspool/platform/roles.py
+++ b/berylspool/platform/roles.py
@@ -94,6 +94,7 @@
     from berylspool.connection.scrape import ScrapeServer
     from berylspool.platform.discovery import ListClient
     from berylspool.platform.operator_server import OperatorServer
+    from berylspool.platform.usage_client import UsageClient
     from berylspool.process.control.platform_integration import (
         PlatformIntegration,
     )
@@ -107,6 +108,7 @@
     platform = PlatformIntegration(
         make_operator_server=lambda inbox: OperatorServer(operator_port, inbox),
         list_reader=ListClient(platform_settings.cloud.address, log.put),
+        duty_client=UsageClient(platform_settings.cloud.address),
         peer_port=platform_settings.control_port,
         voter_count=platform_settings.voter_count,
         timing=ConsensusTiming(
--- a/berylspool/platform/tests/test_boundary.py
+++ b/berylspool/platform/tests/test_boundary.py
@@ -9,7 +9,7 @@
     r"|X-Expect-Instance|X-Not-Executed|X-Response-Stamp|X-Request-Deadline"
     r"|X-Server-Load|Config\.Replace|Config\.Read|Rollouts\.|Evacuation\."
     r"|warmup|discovery-lag|target-latency|traffic-split|non_idempotent"
-    r"|berylspool\.platform"
+    r"|X-Lease-Holder|X-Fencing-Token|berylspool\.platform"
 )
 
 
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -356,6 +356,7 @@
     lease_s: float,
     voter_names: tuple[str, ...] = (),
     lent: tuple[ExtraCopies, ...] = (),
+    usage_confirmed: int = 0,
 ) -> Grant:
     """Return the grant with which a leader with a quorum answers a heartbeat.
 
@@ -366,6 +367,7 @@
         lease_s: Length of a lease in seconds.
         voter_names: Names of the control nodes that vote.
         lent: Copies lent to the entry.
+        usage_confirmed: Term of the leader if it collects usage, else 0.
     """
     newest = newest_state(distribution, state)
     return Grant(
@@ -376,4 +378,5 @@
         voter_names,
         tuple(distribution.convicted_at_by_fingerprint),
         lent,
+        usage_confirmed,
     )
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -71,6 +71,8 @@
         replica: Replica of this control node.
         settings: Settings of the deployment.
         log: Called with each log event.
+        collect_usage: Called with each heartbeat that gets a grant; returns
+            what the grant confirms.
     """
 
     def __init__(
@@ -78,8 +80,10 @@
         replica: Replica,
         settings: Settings,
         log: Callable[[Event], None],
+        collect_usage: Callable[[Heartbeat], int] = lambda heartbeat: 0,
     ) -> None:
         self._log = log
+        self._collect_usage = collect_usage
         self._replica = replica
         self._lease_s = settings.lease_s
         self._routing = settings.routing
@@ -157,6 +161,7 @@
             self._lease_s,
             tuple(node_name_from_id(id) for id in voters),
             lend_copies(self._lending, entry.heartbeat.wanted, now),
+            self._collect_usage(entry.heartbeat),
         )
         entry.session.inbox.put(grant)
 
--- a/berylspool/process/control/leader_duties.py
+++ b/berylspool/process/control/leader_duties.py
@@ -1,8 +1,9 @@
-"""Changes that the leader makes on its own: tables of members and moves."""
+"""Changes that the leader makes on its own: members, moves and duties."""
 
 from typing import Protocol
 
 from berylspool.process.control import membership, move_control
+from berylspool.process.control.duty.usage_duty import UsageDuty
 from berylspool.process.control.operator_commands import (
     initial_change,
     move_change,
@@ -22,6 +23,7 @@
     replica: Replica
     membership: membership.Membership
     move_control: move_control.MoveControl
+    duty: UsageDuty
 
 
 def due_changes(
@@ -48,6 +50,7 @@
         Seat(action.table)
         for action in membership.step(leader.membership, membership.Tick(), now)
     ]
+    changes += leader.duty.due_changes(pending)
     if has_pending or changes:
         return changes
     steps = move_control.step(leader.move_control, configuration, wall_now)
--- a/berylspool/process/control/operator_commands.py
+++ b/berylspool/process/control/operator_commands.py
@@ -25,6 +25,7 @@
     UnknownNameError,
 )
 from berylspool.process.control import membership
+from berylspool.process.control.duty.usage_duty import UsageDuty
 from berylspool.process.control.move_control import MoveControl
 from berylspool.process.control.show_rows import (
     ControlView,
@@ -66,6 +67,7 @@
 __all__ = [
     "CommandHost",
     "OperatorCommandHandler",
+    "OperatorRequest",
     "initial_change",
     "move_change",
 ]
@@ -73,6 +75,10 @@
 OPERATIONS_CODEC = operation_codec()
 ANY_REVISION = -1
 
+OperatorRequest = (
+    CommandRequest | ChangeRequest | ConfigurationRequest | BackupRequest
+)
+
 
 def _encode_change(
     command_id: str,
@@ -116,6 +122,7 @@
     replica: Replica
     membership: membership.Membership
     move_control: MoveControl
+    duty: UsageDuty
     announced_id_by_name: dict[str, str]
 
     def submit(self, change: Change, reply: Callable[[Any], None]) -> None:
@@ -140,6 +147,18 @@
     def __init__(self, control: CommandHost) -> None:
         self._control = control
 
+    async def handle(self, request: OperatorRequest) -> None:
+        """Handle a request of an operator."""
+        match request:
+            case CommandRequest():
+                await self.handle_command(request)
+            case ChangeRequest():
+                self.submit_change(request)
+            case ConfigurationRequest():
+                self.reply_configuration(request)
+            case BackupRequest():
+                self.reply_backup(request)
+
     async def handle_command(self, request: CommandRequest) -> None:
         """Run a command; reply at once, or after its change is committed."""
         # Imported on first use: loading the grammar lengthens the start-up
@@ -247,6 +266,8 @@
             control.replica.state,
             control.membership,
             control.move_control,
+            control.duty.calls_by_outcome,
+            control.duty.report_age_s(),
             control.replica.node.group,
             control.replica.leader,
             control.replica.node.term,
--- a/berylspool/process/control/platform_integration.py
+++ b/berylspool/process/control/platform_integration.py
@@ -7,8 +7,12 @@
 
 from berylspool.common.event import Event, ListingFailed
 from berylspool.common.mailbox import Mailbox
+from berylspool.common.metric import Metrics
+from berylspool.connection.admin import AdminServer
 from berylspool.exception import BerylspoolError
+from berylspool.process.control.duty.call_task import DutyClient
 from berylspool.process.group.node import ConsensusTiming
+from berylspool.process.settings import Settings
 from berylspool.version.listing import ListedUpstream
 
 __all__ = [
@@ -16,7 +20,9 @@
     "OperatorServer",
     "PlatformIntegration",
     "UpstreamListReader",
+    "make_operator_server",
     "poll_listing",
+    "start_polling",
 ]
 
 # The platform's list itself is out of date by most of a second, so reading it
@@ -53,6 +59,7 @@
             the control task; None for the built-in `AdminServer`.
         list_reader: Reads the list of upstreams; None if operators declare
             them.
+        duty_client: Makes the calls of duties; None if there are none.
         peer_port: Port of all control nodes, which are then named by their
             IP addresses; None if the settings hold their addresses.
         voter_count: Number of control nodes that should vote; 0 if operators
@@ -62,6 +69,7 @@
 
     make_operator_server: Callable[[Mailbox[Any]], OperatorServer] | None = None
     list_reader: UpstreamListReader | None = None
+    duty_client: DutyClient | None = None
     peer_port: int | None = None
     voter_count: int = 0
     timing: ConsensusTiming = ConsensusTiming()
@@ -78,6 +86,25 @@
     listed_by_id: dict[str, ListedUpstream]
 
 
+def make_operator_server(
+    platform: PlatformIntegration,
+    inbox: Mailbox[Any],
+    settings: Settings,
+    metrics: Metrics,
+) -> OperatorServer:
+    """Return the server for operators of the platform, or the built-in one.
+
+    Args:
+        platform: Services of the platform.
+        inbox: Inbox of the control task, which receives the requests.
+        settings: Settings of the deployment.
+        metrics: Metrics of the process.
+    """
+    if platform.make_operator_server is not None:
+        return platform.make_operator_server(inbox)
+    return AdminServer(inbox, settings.tokens, metrics)
+
+
 async def poll_listing(
     reader: UpstreamListReader,
     inbox: Mailbox[Any],
@@ -106,3 +133,23 @@
             # Whatever a list holds, the next one has to be read.
             log(ListingFailed(repr(error)[:MAX_ERROR_LENGTH]))
         await asyncio.sleep(LIST_POLL_INTERVAL_S)
+
+
+def start_polling(
+    platform: PlatformIntegration,
+    inbox: Mailbox[Any],
+    is_leading: Callable[[], bool],
+    log: Callable[[Event], None],
+) -> list[asyncio.Task[None]]:
+    """Start to read the list periodically, if the platform has one.
+
+    Args:
+        platform: Services of the platform.
+        inbox: Inbox of the control task, which receives each list.
+        is_leading: Returns whether this node leads.
+        log: Receives an event for each read that fails.
+    """
+    if platform.list_reader is None:
+        return []
+    polling = poll_listing(platform.list_reader, inbox, is_leading, log)
+    return [asyncio.ensure_future(polling)]
--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -16,14 +16,8 @@
     StorageFailed,
 )
 from berylspool.common.mailbox import Mailbox
-from berylspool.common.metric import Metrics, set_gauge
-from berylspool.connection.admin import (
-    AdminServer,
-    BackupRequest,
-    ChangeRequest,
-    CommandRequest,
-    ConfigurationRequest,
-)
+from berylspool.common.metric import Metrics, set_gauges
+from berylspool.connection.admin import CommandRequest
 from berylspool.connection.control_message import (
     Addressed,
     Announce,
@@ -47,6 +41,8 @@
     heartbeat_event,
     members_changed_event,
 )
+from berylspool.process.control.duty.call_task import CallEnded
+from berylspool.process.control.duty.usage_duty import UsageDuty
 from berylspool.process.control.entry_sessions import EntrySessions
 from berylspool.process.control.leader_duties import due_changes
 from berylspool.process.control.operator_commands import (
@@ -67,7 +63,8 @@
 from berylspool.process.control.platform_integration import (
     ListingFetched,
     PlatformIntegration,
-    poll_listing,
+    make_operator_server,
+    start_polling,
 )
 from berylspool.process.control_links import make_control_links
 from berylspool.process.group import consensus
@@ -176,8 +173,18 @@
             platform.voter_count,
             clock,
         )
+        self.duty = UsageDuty(
+            settings.duties,
+            platform.duty_client,
+            self.replica,
+            sessions=lambda: self._server.session_by_id.values(),
+            clock=clock,
+            wall_clock=wall_clock,
+            metrics=self.metrics,
+            log=self._log.put,
+        )
         self._entry_sessions = EntrySessions(
-            self.replica, settings, self._log.put
+            self.replica, settings, self._log.put, self.duty.collect
         )
         self._command_handler = OperatorCommandHandler(self)
         self._server = LinkServer(
@@ -187,10 +194,8 @@
             ),
             on_session_end=self._handle_session_end,
         )
-        self._admin = (
-            platform.make_operator_server(self.inbox)
-            if platform.make_operator_server is not None
-            else AdminServer(self.inbox, settings.tokens, self.metrics)
+        self._admin = make_operator_server(
+            platform, self.inbox, settings, self.metrics
         )
 
     async def run(self) -> None:
@@ -212,12 +217,11 @@
         self._admin.listen(self._node_settings.admin_address)
         self._tasks.append(asyncio.ensure_future(self._log.run()))
         self._links.start()
-        reader, replica = self._platform.list_reader, self.replica
-        if reader is not None:
-            polling = poll_listing(
-                reader, self.inbox, replica.has_quorum_contact, self._log.put
-            )
-            self._tasks.append(asyncio.ensure_future(polling))
+        is_leading = self.replica.has_quorum_contact
+        self._tasks += start_polling(
+            self._platform, self.inbox, is_leading, self._log.put
+        )
+        self._tasks += self.duty.start(self.inbox)
         self._log.put(ProcessStarted("control", self.name, VERSION))
 
     def reload(self, settings: Settings) -> None:
@@ -247,9 +251,9 @@
         if self.replica.is_founding:
             self._group_manager.query_founders()
             return
+        self.duty.tick()
         self._handle_outputs(await self.replica.rejoin_if_room())
-        for name, value in gauge_by_name(self.replica).items():
-            set_gauge(self.metrics, name, value)
+        set_gauges(self.metrics, gauge_by_name(self.replica))
         if not self.replica.has_room:
             return
         self.replica.node.jitter = random.random()
@@ -267,16 +271,12 @@
                 self.replica.on_founder_reply(reply.replier, reply.has_promised)
             case SessionMessage(session=session, message=inner):
                 await self._handle_session(session, inner)
-            case CommandRequest():
-                await self._command_handler.handle_command(message)
-            case ChangeRequest():
-                self._command_handler.submit_change(message)
-            case ConfigurationRequest():
-                self._command_handler.reply_configuration(message)
             case ListingFetched():
                 self._entry_sessions.store_listing(message.listed_by_id)
-            case BackupRequest():
-                self._command_handler.reply_backup(message)
+            case CallEnded():
+                self.duty.handle_call_ended(message)
+            case _:
+                await self._command_handler.handle(message)
 
     async def _handle_session(self, session: Session, message: Any) -> None:
         match message:
--- a/berylspool/process/control/show_rows.py
+++ b/berylspool/process/control/show_rows.py
@@ -1,6 +1,6 @@
 """Rows of the `show` command: current state as the control leader sees it."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,6 +10,7 @@
 from berylspool.process.group.state_machine import ControlState
 from berylspool.version.canary_analysis import RouteObservations, summarize
 from berylspool.version.configuration import Configuration
+from berylspool.version.duty.schedule import CallOutcome
 from berylspool.version.move import traffic_share
 from berylspool.version.operator_command import Condition, Show
 
@@ -26,6 +27,9 @@
         state: Replicated state.
         membership: Entries that have sent heartbeats to this node.
         move_control: Observations of the moves in progress.
+        calls_by_outcome: Calls of duties that this node made, by outcome.
+        report_age_s: Time since the end of the latest window whose usage was
+            reported, in seconds; None if none was.
         group: Voters and learners among the control nodes.
         leader: Name of the leader.
         term: Current term.
@@ -36,6 +40,8 @@
     state: ControlState
     membership: membership.Membership
     move_control: MoveControl
+    calls_by_outcome: Mapping[str, int]
+    report_age_s: float | None
     group: Group
     leader: str
     term: int
@@ -244,6 +250,25 @@
     ]
 
 
+def _duty_rows(view: ControlView) -> list[Row]:
+    usage, age_s = view.state.usage, view.report_age_s
+    return [
+        {
+            "duty": duty,
+            "holder": held.holder,
+            "token": held.token,
+            "reported_window": usage.reported_window,
+            "age_s": "" if age_s is None else round(age_s, 1),
+            "waiting": len(usage.counts_by_window),
+            **{
+                str(outcome): view.calls_by_outcome.get(outcome, 0)
+                for outcome in CallOutcome
+            },
+        }
+        for duty, held in sorted(view.state.holder_by_duty.items())
+    ]
+
+
 def _status_rows(view: ControlView) -> list[Row]:
     revision = view.state.configuration.revision
     in_force_count, total, is_everywhere = membership.rollout_status(
@@ -273,5 +298,6 @@
     "limits": _limit_rows,
     "history": _history_rows,
     "controls": _control_rows,
+    "duties": _duty_rows,
     "status": _status_rows,
 }
