Entries count the requests that upstreams begin to run

A request of a customer counts when it ends, or 4 s after its send while it runs, in the window of the first copy that ran. Counts go with the heartbeats, the open window every 0.5 s, until the leader has confirmed them; a new leader gets them again.

--- a/berylspool/platform/tests/instant_upstreams.py
+++ b/berylspool/platform/tests/instant_upstreams.py
@@ -104,7 +104,7 @@
     return Listing(1, 1, listed_by_id)
 
 
-async def start_entry(loop, service_count, entries):
+async def start_entry(loop, service_count, entries, **settings_changes):
     """Return an entry among several, with one wide route, and its router."""
     services = [f"s{number}" for number in range(service_count)]
     return await start_wide_entry(
@@ -118,6 +118,7 @@
             "timeout-ms": DEADLINE_S * 1000,
             "target-latency-ms": TARGET_MS,
         },
+        **settings_changes,
     )
 
 
--- a/berylspool/platform/tests/test_forwarding.py
+++ b/berylspool/platform/tests/test_forwarding.py
@@ -112,7 +112,9 @@
     return int(head.split()[1]), head, answer
 
 
-def run_scenario(upstreams, routes, scenario, has_plan=True):
+def run_scenario(
+    upstreams, routes, scenario, has_plan=True, **settings_changes
+):
     async def run():
         [port, peer_port] = free_ports(2)
         entry = EntrySettings(
@@ -124,7 +126,7 @@
         )
         forwarder = Forwarder(
             "e1",
-            Settings(entries={"e1": entry}),
+            Settings(entries={"e1": entry}, **settings_changes),
             decode=decode_plan,
             transport=PlatformTransport(time.monotonic),
             control_port=None,
--- a/berylspool/platform/tests/wide_entry.py
+++ b/berylspool/platform/tests/wide_entry.py
@@ -17,7 +17,9 @@
 from berylspool.version.configuration import Configuration
 
 
-async def start_wide_entry(clock, listing, services, entries, route_changes):
+async def start_wide_entry(
+    clock, listing, services, entries, route_changes, **settings_changes
+):
     """Start an entry, with the log settings of the platform.
 
     Args:
@@ -26,6 +28,7 @@
         services: Services of the route.
         entries: Number of entries that share the upstreams.
         route_changes: Fields of the route.
+        **settings_changes: Settings to add.
 
     Returns:
         The entry and the task of its router.
@@ -35,7 +38,7 @@
     )
     forwarder = Forwarder(
         "e1",
-        Settings(entries={"e1": entry}),
+        Settings(entries={"e1": entry}, **settings_changes),
         decode=decode_plan,
         transport=PlatformTransport(clock),
         control_port=None,
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -38,14 +38,12 @@
     TableDrained,
     without_copies,
 )
+from berylspool.process.entry.ledger_requests import LedgerRequests
+from berylspool.process.entry.usage.usage_counter import UsageCounter
 from berylspool.process.settings import Settings
-from berylspool.request.ledger import (
-    LedgerDecision,
-    LedgerReply,
-    LedgerRequest,
-    Settle,
-)
+from berylspool.request.ledger import LedgerReply, LedgerRequest
 from berylspool.version.configuration import Configuration
+from berylspool.version.duty.counting import WindowUsage
 from berylspool.version.listing import Listing, apply_difference
 from berylspool.version.operation import operation_codec
 from berylspool.version.revision import apply_operations
@@ -64,8 +62,6 @@
 # Control counts a loan when it lends it; a much later use would fall into a
 # window of the budget that other entries may use in full.
 LOAN_EXPIRY_S = 0.5
-LEDGER_RESEND_INTERVAL_S = 0.3
-LEDGER_TIMEOUT_S = 5.0
 
 
 class ControlClient:
@@ -87,6 +83,7 @@
         on_convicted: Called with the fingerprints that any entry has convicted.
         on_lent: Called with the copies that control has lent.
         on_judged: Called with judgements on upstreams.
+        usage: Counts requests of customers; None if this role does not.
         control_port: Port of control nodes that are named by their address;
             None if the settings name all of them.
 
@@ -114,6 +111,7 @@
         on_judged: Callable[[tuple[SlownessJudgement, ...]], None] = lambda _: (
             None
         ),
+        usage: UsageCounter | None = None,
         control_port: int | None = None,
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
@@ -131,6 +129,7 @@
         self._on_convicted = on_convicted
         self._on_lent = on_lent
         self._on_judged = on_judged
+        self._usage = usage
         self._observations = Observations()
         self._wanted_by_pool: dict[tuple[str, str], ExtraCopies] = {}
         self._listing = Listing()
@@ -146,7 +145,7 @@
         self._is_lease_held = False
         self._lease_until = float("-inf")
         self._leader = ""
-        self._pending_by_key: dict[tuple[str, bool], PendingLedgerRequest] = {}
+        self._ledger_requests = LedgerRequests()
         self._links = make_control_links(
             member.name,
             settings,
@@ -188,6 +187,7 @@
         return self._clock() - self._granted_at < LEADER_TIMEOUT_S
 
     def _build_heartbeat(self) -> Heartbeat:
+        now = self._clock()
         return Heartbeat(
             self._member,
             self._boot_id,
@@ -195,30 +195,32 @@
             self._drained_epoch,
             self._is_leaving,
             self._table.epoch,
-            self._clock(),
+            now,
             self._take_tallies(),
             self._listing.epoch,
             self._listing.serial,
             self._get_convicted(),
             tuple(self._wanted_by_pool.values()),
             accepts_packed=True,
-            observed=self._observations.take(self._clock()),
+            observed=self._observations.take(now),
+            usage=self._take_usage(now),
         )
 
+    def _take_usage(self, now: float) -> tuple[WindowUsage, ...]:
+        if self._usage is None:
+            return ()
+        return self._usage.take_report(now, self._knows_leader())
+
     def _send_heartbeat(self) -> None:
         """Send a heartbeat; resend ledger requests without a reply."""
         self._has_news = False
-        now = self._clock()
         heartbeat = self._build_heartbeat()
         if self._knows_leader():
             self._links.send(self._leader, heartbeat)
         else:
             self._links.send_to_all(heartbeat)
-        for key, pending in list(self._pending_by_key.items()):
-            if now >= pending.expires_at:
-                del self._pending_by_key[key]
-            elif now - pending.sent_at >= LEDGER_RESEND_INTERVAL_S:
-                self._send_ledger_request(pending)
+        for pending in self._ledger_requests.take_due(self._clock()):
+            self._send_ledger_request(pending)
 
     def _ask_for_copies(self) -> None:
         """Ask the leader for extra copies; without one, none are lent."""
@@ -252,12 +254,8 @@
             case Leave():
                 self._is_leaving = True
                 self._has_news = True
-            case LedgerRequest(request=request):
-                now = self._clock()
-                give_up_at = now + LEDGER_TIMEOUT_S
-                pending = PendingLedgerRequest(message, now, give_up_at)
-                key = (request.request_id, isinstance(request, Settle))
-                self._pending_by_key[key] = pending
+            case LedgerRequest():
+                pending = self._ledger_requests.add(message, self._clock())
                 self._send_ledger_request(pending)
             case ControlMessage(node=node, message=inner):
                 self._handle_control_message(node, inner)
@@ -305,13 +303,8 @@
                         message.gone,
                     )
                 )
-            case LedgerReply(request_id=request_id, decision=decision):
-                is_settle = decision is LedgerDecision.SETTLED
-                pending = self._pending_by_key.pop(
-                    (request_id, is_settle), None
-                )
-                if pending is not None:
-                    pending.submission.inbox.put(message)
+            case LedgerReply():
+                self._ledger_requests.deliver(message)
 
     def _follow_redirect(self, node: str, leader: str) -> None:
         """Open a link to the leader that a node names.
@@ -331,6 +324,10 @@
         """
         self._leader = node
         self._granted_at = self._clock()
+        if self._usage is not None:
+            self._has_news |= self._usage.confirm(
+                grant.sent_at, grant.usage_confirmed
+            )
         is_fresh = self._granted_at - grant.sent_at <= LOAN_EXPIRY_S
         self._on_lent(grant.lent if is_fresh else without_copies(grant.lent))
         if grant.convicted:
--- a/berylspool/process/entry/forwarding/forwarder.py
+++ b/berylspool/process/entry/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 import uuid
 from collections.abc import Callable, Coroutine
 from typing import Any, Protocol
@@ -16,7 +17,8 @@
     ProcessStopped,
     RequestBlamed,
 )
-from berylspool.common.metric import Metrics, set_gauge
+from berylspool.common.metric import Metrics, set_gauges
+from berylspool.common.part_event import PartAbandoned, PartChosen
 from berylspool.connection.control_message import ExtraCopies
 from berylspool.connection.message import Member, MemberTable
 from berylspool.exception import SettingsError
@@ -50,6 +52,7 @@
     Sharing,
     UpstreamsListed,
 )
+from berylspool.process.entry.usage.usage_counter import UsageCounter
 from berylspool.process.lifetime import make_stop_event, wait_until_stopped
 from berylspool.process.log import LogTask
 from berylspool.process.pool_tuning import make_shared_tuning
@@ -65,7 +68,11 @@
 )
 from berylspool.version.forwarding import ForwardPlan
 from berylspool.version.listing import Listing
-from berylspool.version.pool.message import Blame, ObservedReply
+from berylspool.version.pool.message import (
+    Blame,
+    ObservedReply,
+    RowsReply,
+)
 from berylspool.version.pool.quarantine import Verdict
 from berylspool.version.pool.transport import Transport
 
@@ -75,6 +82,8 @@
 MAINTENANCE_INTERVAL_S = 1.0
 # Enough to write the last answers and to close a few hundred connections.
 CLOSE_TIMEOUT_S = 0.1
+# Enough to write one more heartbeat, with the usage of the last requests.
+LAST_REPORT_S = 0.05
 
 
 class CallerListener(Protocol):
@@ -100,6 +109,7 @@
         transport: Protocol spoken to upstreams.
         control_port: Port of control nodes named by address; None if unused.
         clock: Returns the monotonic time in seconds.
+        wall_clock: Returns the seconds since the epoch.
         log: Log task, which the entry runs; None creates one.
 
     Raises:
@@ -115,6 +125,7 @@
         transport: Transport,
         control_port: int | None,
         clock: Callable[[], float],
+        wall_clock: Callable[[], float] = time.time,
         log: LogTask | None = None,
     ) -> None:
         if name not in settings.entries:
@@ -137,6 +148,12 @@
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
         self._evidence = CrashEvidence()
+        self.usage = UsageCounter(
+            settings.duties,
+            clock=clock,
+            wall_clock=wall_clock,
+            log=self.log.put,
+        )
         self.router = Router(
             RoutingState(name, Sharing.ALONE),
             make_shared_tuning(settings.routing, self.own_settings.zone, name),
@@ -153,6 +170,7 @@
             self.state,
             self.router.inbox,
             self._evidence,
+            self.usage,
             clock=clock,
             metrics=self.metrics,
             log=self.log.put,
@@ -173,6 +191,7 @@
             on_convicted=self._adopt_convictions,
             on_lent=self.router.receive_loans,
             on_judged=self.router.receive_judgements,
+            usage=self.usage,
             control_port=control_port,
         )
 
@@ -202,12 +221,27 @@
         self.state.set_entry_count(len(table.member_by_name))
 
     def _handle_reply(self, observed_reply: ObservedReply) -> None:
-        record_reply(self.statistics, observed_reply)
-        update_containment(self._evidence, observed_reply, self._clock())
+        if self.statistics.move_by_route:
+            record_reply(self.statistics, observed_reply)
+        evidence = self._evidence
+        # An answer changes nothing unless upstreams were lost.
+        if evidence.lost_by_fingerprint or (
+            type(observed_reply.reply) is not RowsReply
+        ):
+            update_containment(evidence, observed_reply, self._clock())
         count_reply(self.metrics, observed_reply)
+        if self.usage.awaited_reply_by_request:
+            self.usage.note_reply(observed_reply)
 
     def _log_decision(self, event: Event) -> None:
-        count_event(self.metrics, event)
+        # One for each part, so it is told apart by the cheapest check.
+        if type(event) is PartChosen:
+            if self.usage.awaited_send_by_part:
+                self.usage.note_send(event.part)
+        else:
+            count_event(self.metrics, event)
+            if isinstance(event, PartAbandoned):
+                self.usage.note_abandoned(event)
         self.log.put(event)
 
     def _adopt_convictions(self, fingerprints: tuple[str, ...]) -> None:
@@ -237,8 +271,7 @@
             "berylspool_log_lines_dropped": self.log.dropped,
             "berylspool_timer_lag_seconds": self.handler.timer_lag.mean_s,
         }
-        for name, value in value_by_gauge.items():
-            set_gauge(self.metrics, name, value)
+        set_gauges(self.metrics, value_by_gauge)
 
     async def _run_maintenance(self) -> None:
         while True:
@@ -276,6 +309,9 @@
         running.ends_at = ends_at - FINISH_S
         await running.wait_until_idle()
         await running.end_all(lambda: self.router.inbox.put(EntryClosing()))
+        if self.usage.flush():
+            self.control.inbox.put(Leave())
+            await asyncio.sleep(LAST_REPORT_S)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSE_TIMEOUT_S):
                 await callers.close()
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -23,6 +23,7 @@
     record_refusal,
 )
 from berylspool.process.entry.router import RouterMessage
+from berylspool.process.entry.usage.usage_counter import UsageCounter
 from berylspool.process.running_requests import RunningRequests
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.fingerprint import hash64
@@ -50,6 +51,7 @@
         state: Plan, moves and listing in force.
         router: Inbox of the entry's router.
         evidence: Evidence for and against requests that lost upstreams.
+        usage: Counts the requests of customers.
         clock: Returns the monotonic time in seconds.
         metrics: Metrics of the process.
         log: Called with each log event.
@@ -64,6 +66,7 @@
         state: ForwardingState,
         router: Mailbox[RouterMessage],
         evidence: CrashEvidence,
+        usage: UsageCounter,
         *,
         clock: Callable[[], float],
         metrics: Metrics,
@@ -74,6 +77,7 @@
         self._state = state
         self._router = router
         self._evidence = evidence
+        self._usage = usage
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -156,11 +160,15 @@
     ) -> Outcome:
         task = RequestTask(query, self._router, self._clock)
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
+        outcome: Outcome | None = None
+        self._usage.begin(query)
         try:
             with self.running.track(task):
-                return await task.run(pinned)
+                outcome = await task.run(pinned)
+            return outcome
         finally:
             watcher.cancel()
+            self._usage.end(query, outcome)
             if task.soft_deadline_lag_s is not None:
                 record_lag(self.timer_lag, task.soft_deadline_lag_s)
 
--- /dev/null
+++ b/berylspool/process/entry/usage/__init__.py
@@ -0,0 +1,1 @@
+"""Counting of the requests of customers at an entry."""
