--- a/berylspool/platform/headers.py
+++ b/berylspool/platform/headers.py
@@ -5,6 +5,8 @@
 __all__ = [
     "API_KEY",
     "EXPECT_INSTANCE",
+    "FENCING_TOKEN",
+    "LEASE_HOLDER",
     "MISSING_PARTS",
     "NOT_EXECUTED",
     "PART_STAMPS",
@@ -41,6 +43,9 @@
 PART_STAMPS = "X-Part-Stamps"
 # Number of shards that a merged answer does not cover.
 MISSING_PARTS = "X-Missing-Parts"
+# Node that makes a call of a duty, and the token that fences off others.
+LEASE_HOLDER = "X-Lease-Holder"
+FENCING_TOKEN = "X-Fencing-Token"
 
 # Key of the customer that sends a request; no upstream may get it.
 API_KEY = "X-Api-Key"
--- a/berylspool/platform/tests/wide_entry.py
+++ b/berylspool/platform/tests/wide_entry.py
@@ -18,7 +18,13 @@
 
 
 async def start_wide_entry(
-    clock, listing, services, entries, route_changes, processor_share=0.0
+    clock,
+    listing,
+    services,
+    entries,
+    route_changes,
+    processor_share=0.0,
+    **settings_changes,
 ):
     """Start an entry, with the log settings of the platform.
 
@@ -29,6 +35,7 @@
         entries: Number of entries that share the upstreams.
         route_changes: Fields of the route.
         processor_share: Share of a core that the entry has; 0 if unknown.
+        **settings_changes: Settings to add.
 
     Returns:
         The entry and the task of its router.
@@ -41,6 +48,7 @@
         Settings(
             entries={"e1": entry},
             routing=RoutingSettings(processor_share=processor_share),
+            **settings_changes,
         ),
         decode=decode_plan,
         transport=PlatformTransport(clock),
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -26,11 +26,12 @@
     record_refusal,
 )
 from berylspool.process.entry.router import RouterMessage
+from berylspool.process.entry.usage.usage_counter import UsageCounter
 from berylspool.process.running_requests import RunningRequests
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.fingerprint import hash64
 from berylspool.request.forward_request import ForwardRequest
-from berylspool.request.query import Outcome, Reason, Refusal
+from berylspool.request.query import Outcome, Query, Reason, Refusal
 from berylspool.request.request_task import RequestTask
 from berylspool.version.containment import CrashEvidence, is_convicted
 from berylspool.version.customer.identity import Unidentified, identify
@@ -54,6 +55,7 @@
         state: Plan, moves and listing in force.
         router: Inbox of the entry's router.
         evidence: Evidence for and against requests that lost upstreams.
+        usage: Counts the requests of customers.
         clock: Returns the monotonic time in seconds.
         metrics: Metrics of the process.
         log: Called with each log event.
@@ -70,6 +72,7 @@
         state: ForwardingState,
         router: Mailbox[RouterMessage],
         evidence: CrashEvidence,
+        usage: UsageCounter,
         *,
         clock: Callable[[], float],
         metrics: Metrics,
@@ -83,6 +86,7 @@
         self._state = state
         self._router: Mailbox[Any] = router
         self._evidence = evidence
+        self._usage = usage
         self._clock = clock
         self._metrics = metrics
         self._log = log
@@ -149,7 +153,7 @@
             )
         task = RequestTask(query, router, self._clock)
         with self.key_revocation.track(task, request, route):
-            outcome = await self._run_request(task, pinned, caller_gone)
+            outcome = await self._run_request(query, task, pinned, caller_gone)
         record_outcome(
             self._metrics,
             self._log,
@@ -180,14 +184,22 @@
         return refusal
 
     async def _run_request(
-        self, task: RequestTask, pinned: PinnedMap, caller_gone: asyncio.Event
+        self,
+        query: Query,
+        task: RequestTask,
+        pinned: PinnedMap,
+        caller_gone: asyncio.Event,
     ) -> Outcome:
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
+        outcome: Outcome | None = None
+        self._usage.begin(query)
         try:
             with self.running.track(task):
-                return await task.run(pinned)
+                outcome = await task.run(pinned)
+            return outcome
         finally:
             watcher.cancel()
+            self._usage.end(query, outcome)
             if task.soft_deadline_lag_s is not None:
                 record_lag(self.timer_lag, task.soft_deadline_lag_s)
 
