Choose upstreams by the pace that they report

The load report with four figures was discarded as a whole, so entries on these deployments chose by their own averages only. The fourth figure, how long work takes on the VM now, scales the work that runs and waits there while it is fresh (0.25 s). Reports with three figures count as before.

Views are searched for a reservation only for parts that have had one, which pays for the new steps.

--- a/berylspool/platform/upstream/codec.py
+++ b/berylspool/platform/upstream/codec.py
@@ -42,7 +42,10 @@
 LOAD_KEY = to_key(headers.SERVER_LOAD)
 LEAVING_KEY = to_key(headers.SERVER_LEAVING)
 CONTENT_ENCODING_KEY = to_key("Content-Encoding")
-# Small numbers repeat; each answer states three.
+PERCENT = 100.0
+# No VM is ten times as fast as usual, so a smaller figure is an error.
+MIN_PACE = 0.1
+# Small numbers repeat; each answer states three or four.
 MAX_CACHED_LOADS = 4096
 # More than one entry is connected to.
 MAX_CACHED_INSTANCES = 4096
@@ -170,6 +173,9 @@
     match numbers:
         case [int(running), int(waiting), int(slots)]:
             return ReportedLoad(running, waiting, slots)
+        case [int(running), int(waiting), int(slots), int(percent)]:
+            pace = max(percent / PERCENT, MIN_PACE)
+            return ReportedLoad(running, waiting, max(slots, 1), pace, True)
     # The load is only a hint; without it, the pool uses its own counts.
     return None
 
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -33,6 +33,7 @@
     reconfigure,
 )
 from berylspool.version.pool.extra_copies import (
+    hedge_delay_s,
     hedge_part,
     on_copies_lent,
 )
@@ -72,7 +73,6 @@
     earliest_idle_since,
     enqueue_job,
     fail_job,
-    hedge_delay_s,
     set_timer,
 )
 from berylspool.version.upstream.balancing import (
@@ -275,7 +275,7 @@
         )
         if reserved is None:
             return None
-        reserved.reserved_for = job.part.id
+        reserved.reserved_for, job.has_reserved = job.part.id, True
     is_ready = (
         reserved.reserved_for == job.part.id
         and reserved.in_flight == 0
--- a/berylspool/version/pool/extra_copies.py
+++ b/berylspool/version/pool/extra_copies.py
@@ -19,14 +19,14 @@
     end_attempt,
     enqueue_job,
     fail_job,
-    hedge_delay_s,
-    may_hedge,
     set_timer,
 )
 
 __all__ = [
     "has_reached_send_limit",
+    "hedge_delay_s",
     "hedge_part",
+    "may_hedge",
     "on_copies_lent",
     "queue_unsent",
     "retry_within_budget",
@@ -103,6 +103,22 @@
         enqueue_job(pool, job, behind_first_copies=False)
 
 
+def may_hedge(pool: Pool, job: Job) -> bool:
+    """Return whether one more copy of a part is within its limits."""
+    forward = job.part.forward
+    if forward is None:
+        return job.hedges < pool.tuning.hedges
+    return job.sends - job.refusals < forward.attempts
+
+
+def hedge_delay_s(pool: Pool, job: Job) -> float:
+    """Return the time from a send to the next hedge, in seconds."""
+    forward = job.part.forward
+    if forward is None or forward.hedge_after_s is None:
+        return pool.hedge_delay.delay_s
+    return forward.hedge_after_s
+
+
 def hedge_part(pool: Pool, job: Job, now: float) -> list[PoolAction]:
     """Queue a hedge for a slow part if its limits and the budget allow it."""
     if (
--- a/berylspool/version/pool/message.py
+++ b/berylspool/version/pool/message.py
@@ -14,6 +14,7 @@
 )
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.quarantine import Verdict
+from berylspool.version.upstream.load_report import ReportedLoad
 from berylspool.version.upstream.slow_upstreams import SlownessJudged
 
 __all__ = [
@@ -103,15 +104,6 @@
     response: UpstreamResponse | None = None
 
 
-@dataclass(slots=True)
-class ReportedLoad:
-    """Requests of all callers at an upstream, and its slots, as it reports."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamNotice:
     """What an upstream says of itself in an answer.
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -37,8 +37,6 @@
     "enqueue_job",
     "fail_job",
     "finish_job",
-    "hedge_delay_s",
-    "may_hedge",
     "retry_after_s",
     "set_timer",
 ]
@@ -143,6 +141,7 @@
         has_run: Whether an upstream may have run it.
         refusals: Number of refusals by upstreams that did not run it.
         warm_only: Whether it must not be sent to cold upstreams.
+        has_reserved: Whether an upstream was reserved for it.
         is_hedge_denied: Whether the budget denied the latest hedge.
         retry_at: Time of a retry that waits for a lent copy, monotonic
             seconds; None if none does.
@@ -161,6 +160,7 @@
     has_run: bool = False
     refusals: int = 0
     warm_only: bool = False
+    has_reserved: bool = False
     is_hedge_denied: bool = False
     retry_at: float | None = None
     last_reason: Reason = Reason.NO_UPSTREAM
@@ -343,9 +343,10 @@
     """Reply with the result and cancel the copies still in flight."""
     actions: list[PoolAction] = [SendResult(result)]
     del pool.job_by_part[job.part.id]
-    for view in pool.view_by_upstream.values():
-        if view.reserved_for == job.part.id:
-            view.reserved_for = None
+    if job.has_reserved:
+        for view in pool.view_by_upstream.values():
+            if view.reserved_for == job.part.id:
+                view.reserved_for = None
     for attempt in job.attempt_by_id.values():
         attempt.is_cancelled = True
         actions.append(
@@ -381,19 +382,3 @@
 def retry_after_s(pool: Pool) -> float:
     """Return the time after which a retry is useful, in seconds."""
     return max(pool.mean_latency_s, MIN_RETRY_AFTER_S)
-
-
-def may_hedge(pool: Pool, job: Job) -> bool:
-    """Return whether one more copy of a part is within its limits."""
-    forward = job.part.forward
-    if forward is None:
-        return job.hedges < pool.tuning.hedges
-    return job.sends - job.refusals < forward.attempts
-
-
-def hedge_delay_s(pool: Pool, job: Job) -> float:
-    """Return the time from a send to the next hedge, in seconds."""
-    forward = job.part.forward
-    if forward is None or forward.hedge_after_s is None:
-        return pool.hedge_delay.delay_s
-    return forward.hedge_after_s
--- a/berylspool/version/upstream/balancing.py
+++ b/berylspool/version/upstream/balancing.py
@@ -28,6 +28,10 @@
     "rank_upstreams",
 ]
 
+# Share of a request's time that each other request at the upstream is expected
+# to add even while a slot is free.
+CROWDING = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class RandomChoice:
@@ -182,7 +186,7 @@
             return lambda v: (
                 v.expected_slowness(now)
                 * v.expected_attempts(now)
-                * (v.in_flight + v.estimated_other_requests(now) + 1.0)
+                * _expected_work(v, now)
                 + (0.0 if v.upstream.zone == zone else crossing)
             )
         case ZoneAware(zone=zone, crossing_s=crossing_s):
@@ -192,3 +196,15 @@
                 / max(1, allowed_slots(v.slow_start, v.limits, now))
                 + (0.0 if v.upstream.zone == zone else crossing_s)
             )
+
+
+def _expected_work(view: UpstreamView, now: float) -> float:
+    """Return the work ahead of a new request and its own, in requests.
+
+    A request for which a slot is free waits for none of the others, but a
+    further one that is sent meanwhile may take that slot.
+    """
+    work = view.in_flight + view.estimated_other_requests(now) + 1.0
+    if view.slots == 1:
+        return work
+    return max(1.0, work / view.slots) + CROWDING * work
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -1,6 +1,5 @@
 """Known state of one upstream."""
 
-import enum
 import math
 from dataclasses import dataclass, field
 
@@ -8,10 +7,18 @@
 from berylspool.version.configuration import Limits, Upstream
 from berylspool.version.pool.message import (
     NotRunReply,
-    ReportedLoad,
     RowsReply,
     UpstreamReply,
 )
+from berylspool.version.upstream.connection_view import (
+    ConnectionState,
+    ConnectionView,
+)
+from berylspool.version.upstream.load_report import (
+    MAX_EXPLAINED_RATIO,
+    ReportedLoad,
+    updated_trust,
+)
 from berylspool.version.upstream.slow_start import (
     REFUSAL_BACKOFF_S,
     ColdRateLimit,
@@ -62,39 +69,8 @@
 # About two service times, after which the requests that a report counted have
 # been answered.
 LOAD_REPORT_DECAY_S = 0.1
-
-
-class ConnectionState(enum.Enum):
-    """State of a connection to an upstream."""
-
-    OPENING = enum.auto()
-    IDLE = enum.auto()
-    BUSY = enum.auto()
-    CLOSING = enum.auto()
-
-
-@dataclass(slots=True)
-class ConnectionView:
-    """Known state of one connection.
-
-    Attributes:
-        id: Unique in the pool.
-        upstream_id: Upstream at the other end.
-        state: State of the connection.
-        attempt_id: Attempt in flight on it, if any.
-        holds_slot: Whether it occupies a slot of the upstream until it closes.
-        idle_since: Time at which it last became idle or, while it opens on
-            demand, began to open, monotonic seconds.
-        has_answered: Whether the upstream has replied on it.
-    """
-
-    id: int
-    upstream_id: str
-    state: ConnectionState = ConnectionState.OPENING
-    attempt_id: int | None = None
-    holds_slot: bool = False
-    idle_since: float = 0.0
-    has_answered: bool = False
+# The pace of a VM changes many times a second.
+PACE_DECAY_S = 0.25
 
 
 @dataclass(slots=True)
@@ -118,10 +94,17 @@
         latency_s: Moving average of answer times, in seconds.
         other_requests: Requests of other entries, by the latest load report.
         load_reported_at: Time of that report, monotonic seconds.
+        reported_pace: How long work takes there, as a share of the usual time,
+            by that report; None if it does not say.
+        slots: Requests that it runs at the same time, by reports that state
+            the pace; 1 before the first one.
+        report_trust: Share of its recent answers whose time agreed with the
+            report that they carried.
         last_answer_at: Time of the latest answer that `latency_s` includes,
             monotonic seconds.
         slowness: Moving average of its answer times, each relative to the
             usual one of the same route; 1 is usual.
+        last_ratio: Latest answer time relative to the usual one.
         refusal_share: Moving average of the share of its replies that refused
             a request without running it.
         last_reply_at: Time of the latest reply that `refusal_share` includes,
@@ -161,8 +144,12 @@
     latency_s: float = INITIAL_LATENCY_S
     other_requests: float = 0.0
     load_reported_at: float = float("-inf")
+    reported_pace: float | None = None
+    report_trust: float = 1.0
+    slots: int = 1
     last_answer_at: float = float("-inf")
     slowness: float = 1.0
+    last_ratio: float = 1.0
     refusal_share: float = 0.0
     last_reply_at: float = float("-inf")
     sent_at_by_attempt: dict[int, float] = field(default_factory=dict)
@@ -179,11 +166,25 @@
     judged_until: float = float("-inf")
 
     def record_load(self, load: ReportedLoad, now: float) -> None:
-        """Record the share of a reported load that other entries cause."""
+        """Record a reported load.
+
+        Of the requests that it states, those of other entries are kept.  A
+        pace that does not explain the time of the answer that carried it loses
+        trust: an upstream may report no load while its answers are slow.
+        """
         self.other_requests = max(
             0, load.running + load.waiting - self.in_flight
         )
         self.load_reported_at = now
+        if load.has_pace:
+            self.reported_pace, self.slots = load.pace, load.slots
+            # Most answers are neither slow nor from an upstream in doubt.
+            if (
+                self.last_ratio > MAX_EXPLAINED_RATIO or self.report_trust < 1.0
+            ) and self.last_answer_at == now:
+                self.report_trust = updated_trust(
+                    self.report_trust, load, self.last_ratio
+                )
 
     def estimated_other_requests(self, now: float) -> float:
         """Return the estimated number of requests of other entries.
@@ -211,7 +212,7 @@
         weight = _sample_weight(now - self.last_answer_at)
         ratio = latency_s / max(usual_s, MIN_LATENCY_S)
         self.slowness += weight * (ratio - self.slowness)
-        self.last_answer_at = now
+        self.last_answer_at, self.last_ratio = now, ratio
         return ratio
 
     def record_reply(self, is_refusal: bool, now: float) -> None:
@@ -228,17 +229,28 @@
     def expected_slowness(self, now: float) -> float:
         """Return the expected time of one more request; 1 is usual.
 
-        Without new answers the average approaches 1, so that an upstream that
+        A pace that the upstream has just reported counts most. Without one, and
+        without new answers, the average approaches 1, so that an upstream that
         was slow is tried again.  An attempt that has been unanswered for longer
         than the average counts with its time so far.
         """
-        weight = _decay(now - self.last_answer_at)
-        slowness = 1.0 + (self.slowness - 1.0) * weight
-        oldest_sent_at = min(self.sent_at_by_attempt.values(), default=now)
-        overdue = (now - oldest_sent_at) / max(self.latency_s, MIN_LATENCY_S)
+        slowness = 1.0
+        answer_age_s = now - self.last_answer_at
+        if answer_age_s < SLOWNESS_DECAY_S:
+            weight = 1.0 - answer_age_s / SLOWNESS_DECAY_S
+            slowness += (self.slowness - 1.0) * weight
         if self.judged_at > self.last_answer_at and now < self.judged_until:
             slowness = max(slowness, self.judged_slowness)
-        return max(slowness, overdue)
+        if self.reported_pace is not None:
+            weight = self.report_trust * max(
+                0.0, 1.0 - (now - self.load_reported_at) / PACE_DECAY_S
+            )
+            slowness += weight * (self.reported_pace - slowness)
+        if self.sent_at_by_attempt:
+            waited_s = now - min(self.sent_at_by_attempt.values())
+            overdue = waited_s / max(self.latency_s, MIN_LATENCY_S)
+            slowness = max(slowness, overdue)
+        return slowness
 
     def apply_judgement(
         self, slowness: float, valid_until: float, now: float
