Send and refuse waiting parts by rank, target and customer

Under overload the most urgent requests lost most: the queue of a pool was ordered by deadline alone, a full queue refused the newest part, and work of all ranks waited at upstreams, which serve in the order of arrival.

Where parts of several ranks or customers share a pool, a part that can still meet its target goes first, then the more urgent rank, first copies before hedges, and customers in turn. Two tenths of the sends are exempt, so that no rank starves. Less urgent parts wait in the pool while upstreams report a queue. Parts that would not be reached in time are refused, least costly first, with times of return that follow the measured rate of sends; a request that returns is preferred. Pools with one rank keep their order.

--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -105,6 +105,9 @@
         hedge_after_s: Time without an answer after which a second copy is
             sent, in seconds; None for no second copy.
         rank: Priority of its route; 0 is the most urgent.
+        grace_s: Time between the target latency and the deadline, in seconds;
+            0 without a target latency.
+        customer: Name of the customer that sent it; empty if none is known.
     """
 
     method: str
@@ -115,6 +118,8 @@
     attempts: int = 1
     hedge_after_s: float | None = None
     rank: int = 0
+    grace_s: float = 0.0
+    customer: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -241,6 +241,7 @@
         Query whose deadline is the earlier of the caller's and the route's.
     """
     timeout_s = min(request.deadline_s or DEFAULT_TIMEOUT_S, route.timeout_s)
+    target_s = route.target_latency_s or timeout_s
     forward = Forward(
         request.method,
         request.target,
@@ -248,8 +249,9 @@
         request.body,
         is_part=route.is_fan_out,
         attempts=route.max_attempts,
-        hedge_after_s=(route.target_latency_s or timeout_s) * hedge_share,
+        hedge_after_s=target_s * hedge_share,
         rank=route.rank,
+        grace_s=max(timeout_s - target_s, 0.0),
     )
     soft_deadline = None
     if route.is_fan_out and route.target_latency_s:
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -2,7 +2,8 @@
 
 A pool has a single owner, so slots, connections and slow starts of its
 upstreams are tracked in one place.  Parts wait in one bounded queue, ordered by
-deadline, so that all services serve the same requests under overload.  Hedges
+deadline, so that all services serve the same requests under overload, or as
+`version/overload` decides if they differ in rank or customer.  Hedges
 queue behind first copies and retries unless `hedges_in_turn` is set.  A part
 that cannot be answered in time is refused before any upstream has run it.
 """
@@ -11,6 +12,13 @@
 
 from berylspool.common.event import UpstreamChanged
 from berylspool.request.query import Part, Reason
+from berylspool.version.overload.precedence import note_class
+from berylspool.version.overload.waiting import (
+    has_free_upstream,
+    max_work_ahead,
+    refuse_hopeless,
+    send_in_order,
+)
 from berylspool.version.pool.attempt import (
     close_silent_connection,
     describe_abandoned,
@@ -78,9 +86,9 @@
 from berylspool.version.upstream.balancing import (
     choose_upstream,
 )
+from berylspool.version.upstream.isolation import reserve_upstream
 from berylspool.version.upstream.notices import on_instance_changed
 from berylspool.version.upstream.slow_start import (
-    is_warm,
     on_instance_report,
     on_send,
 )
@@ -89,7 +97,6 @@
     ConnectionState,
     UpstreamView,
     find_idle_connection,
-    free_slots,
 )
 
 __all__ = ["step"]
@@ -145,6 +152,8 @@
     if pool.queue:
         actions += _dispatch(pool, now)
         actions += refuse_unservable(pool, now)
+    if pool.queue and now < pool.precedence.mixed_until:
+        actions += refuse_hopeless(pool, now)
     if pool.tuning.opens_on_demand:
         # An answer leaves the connections as they are.
         if pool.queue or not isinstance(event, AttemptAnswered):
@@ -158,6 +167,11 @@
     pool.last_arrival_at = now
     if part.id in pool.job_by_part:
         return []
+    forward, precedence = part.forward, pool.precedence
+    if forward is not None:
+        part_class = forward.rank, forward.customer
+        if part_class != precedence.latest_class:
+            note_class(precedence, *part_class, now)
     reason = refusal_reason(pool, part, now)
     if reason is not None:
         return [SendResult(make_refusal(pool, part.id, reason, now))]
@@ -202,10 +216,16 @@
         heapq.heappop(pool.queue)
     if now >= pool.lease_until:
         return actions
+    if now < pool.precedence.mixed_until:
+        return send_in_order(
+            pool,
+            lambda job, is_hedge: _send_copy(pool, job, is_hedge, now),
+            now,
+        )
     skipped: list[tuple[int, float, int, str]] = []
     while pool.queue and len(skipped) < MAX_SKIPPED_PARTS:
         # With one waiting part, the choice itself finds out.
-        if len(pool.queue) > 1 and not _has_free_upstream(pool, now):
+        if len(pool.queue) > 1 and not has_free_upstream(pool, now):
             break
         item = heapq.heappop(pool.queue)
         job = pool.job_by_part.get(item[3])
@@ -222,14 +242,6 @@
     return actions
 
 
-def _has_free_upstream(pool: Pool, now: float) -> bool:
-    return any(
-        view.reserved_for
-        or (find_idle_connection(view) and free_slots(view, now))
-        for view in pool.view_by_upstream.values()
-    )
-
-
 def _select_upstream(
     pool: Pool, job: Job, not_before: float, now: float
 ) -> UpstreamView | None:
@@ -238,7 +250,18 @@
     if verdicts.verdict_by_fingerprint and is_suspect(
         verdicts, job.part.fingerprint
     ):
-        return _reserve_upstream(pool, job, now)
+        job.has_reserved = True
+        return reserve_upstream(
+            pool.view_by_upstream.values(),
+            pool.tuning.policy,
+            job.part.id,
+            job.tried_upstreams,
+            now,
+        )
+    # The usual case: all parts of the pool are of one rank.
+    max_ahead = None
+    if now < pool.precedence.mixed_until:
+        max_ahead = max_work_ahead(pool, job, now)
     return choose_upstream(
         pool.view_by_upstream.values(),
         pool.tuning.policy,
@@ -247,52 +270,7 @@
         job.warm_only,
         now,
         not_before,
-    )
-
-
-def _reserve_upstream(pool: Pool, job: Job, now: float) -> UpstreamView | None:
-    """Return the warm upstream reserved for a suspect once it is empty.
-
-    At most one upstream is reserved at a time.
-
-    Returns:
-        The upstream, or None while it still runs other attempts, is reserved
-        for another suspect, or cannot be chosen.
-    """
-    views = pool.view_by_upstream.values()
-    reserved = next((v for v in views if v.reserved_for), None)
-    if reserved is not None and not _may_run_suspect(reserved, now):
-        reserved.reserved_for = None
-        reserved = None
-    if reserved is None:
-        reserved = choose_upstream(
-            views,
-            pool.tuning.policy,
-            job.part.id,
-            frozenset(job.tried_upstreams),
-            warm_only=True,
-            now=now,
-        )
-        if reserved is None:
-            return None
-        reserved.reserved_for, job.has_reserved = job.part.id, True
-    is_ready = (
-        reserved.reserved_for == job.part.id
-        and reserved.in_flight == 0
-        and find_idle_connection(reserved) is not None
-    )
-    return reserved if is_ready else None
-
-
-def _may_run_suspect(view: UpstreamView, now: float) -> bool:
-    """Return whether a reserved upstream may still run its suspect."""
-    if view.in_flight:
-        return True
-    return (
-        view.is_serving
-        and not view.is_draining
-        and now >= view.paused_until
-        and is_warm(view.slow_start, view.limits, now)
+        max_ahead,
     )
 
 
@@ -306,14 +284,15 @@
         return None
     connection = find_idle_connection(view, not_before)
     assert connection is not None
+    part, upstream_id = job.part, view.upstream.id
     attempt = Attempt(
         pool.next_serial(),
-        job.part.id,
-        job.part.route,
-        view.upstream.id,
+        part.id,
+        part.route,
+        upstream_id,
         connection.id,
         now,
-        is_isolated=view.reserved_for == job.part.id,
+        is_isolated=view.reserved_for == part.id,
     )
     chosen = describe_choice(job, view, is_hedge, now)
     connection.state = ConnectionState.BUSY
@@ -323,16 +302,16 @@
     on_send(view.cold_rate, view.limits, now)
     job.attempt_by_id[attempt.id] = attempt
     pool.attempt_by_id[attempt.id] = attempt
-    job.tried_upstreams.add(view.upstream.id)
+    job.tried_upstreams.add(upstream_id)
     job.sends += 1
     hedge_at = now + hedge_delay_s(pool, job)
-    set_timer(pool, hedge_at, job.part.id, TimerKind.HEDGE)
+    set_timer(pool, hedge_at, part.id, TimerKind.HEDGE)
     if pool.tuning.silent_s is not None:
         silent_at = now + pool.tuning.silent_s
         set_timer(pool, silent_at, str(attempt.id), TimerKind.SILENCE_TIMEOUT)
     timeout_s = job.deadline - now
     return [
-        SendAttempt(connection.id, attempt.id, job.part, timeout_s),
+        SendAttempt(connection.id, attempt.id, part, timeout_s),
         Log(chosen),
     ]
 
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -78,8 +78,10 @@
     pool: Pool, event: AttemptAnswered, now: float
 ) -> list[PoolAction]:
     """Handle the reply of an upstream to an attempt, and its notice."""
-    view = _find_view(pool, event.connection_id) if event.notice else None
-    if view is None or event.notice is None:
+    if event.notice is None:
+        return _on_reply(pool, event, now)
+    view = _find_view(pool, event.connection_id)
+    if view is None:
         return _on_reply(pool, event, now)
     notice_actions = on_notice(pool, view, event.notice, now)
     return [*notice_actions, *_on_reply(pool, event, now)]
--- a/berylspool/version/pool/availability.py
+++ b/berylspool/version/pool/availability.py
@@ -104,6 +104,9 @@
     reason = closed_reason(pool, now)
     if reason is not None or not pool.queue:
         return reason
+    if now < pool.precedence.mixed_until:
+        # The part that costs least is refused once this one waits, too.
+        return None
     views = _views_for_new_work(pool)
     slots = sum(allowed_slots(v.slow_start, v.limits, now) for v in views)
     expected_s = len(pool.queue) * pool.mean_latency_s / max(slots, 1)
--- a/berylspool/version/pool/hedging.py
+++ b/berylspool/version/pool/hedging.py
@@ -18,6 +18,7 @@
     "discard_excess",
     "record_duration",
     "set_max_tokens",
+    "take_back_deposit",
     "try_withdraw",
 ]
 
@@ -55,6 +56,11 @@
     )
 
 
+def take_back_deposit(budget: Budget) -> None:
+    """Remove the tokens of a first copy that will not be sent."""
+    budget.tokens = max(0.0, budget.tokens - budget.tokens_per_first_copy)
+
+
 def set_max_tokens(budget: Budget, max_tokens: float) -> None:
     """Change the maximum balance, as entries that share the budget change.
 
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -11,6 +11,8 @@
     Reason,
     UpstreamResponse,
 )
+from berylspool.version.overload.precedence import Claim, Precedence
+from berylspool.version.overload.shedding import Shedding
 from berylspool.version.pool.hedging import Budget, HedgeDelay
 from berylspool.version.pool.message import (
     CancelAttempt,
@@ -147,6 +149,7 @@
             seconds; None if none does.
         last_reason: Reason of the latest failure or refusal.
         last_response: Latest complete error response of an upstream.
+        claim: What decides on its place in the queue; None until it is needed.
     """
 
     part: Part
@@ -165,6 +168,7 @@
     retry_at: float | None = None
     last_reason: Reason = Reason.NO_UPSTREAM
     last_response: UpstreamResponse | None = None
+    claim: Claim | None = None
 
 
 @dataclass(slots=True)
@@ -208,6 +212,8 @@
             hold, monotonic seconds.
         hedge_delay: Estimator of the hedge delay.
         observed: Observations of upstreams that are not reported yet.
+        precedence: State of the order of waiting parts of different ranks.
+        shedding: State of the refusals of such parts.
     """
 
     service: str
@@ -235,6 +241,8 @@
     notices: NoticeMemory = field(default_factory=NoticeMemory)
     noticed_until: float = float("-inf")
     observed: list[SlownessObserved] = field(default_factory=list)
+    precedence: Precedence = field(default_factory=Precedence)
+    shedding: Shedding = field(default_factory=Shedding)
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
@@ -289,6 +297,7 @@
         behind_first_copies: Whether the copy queues behind all first copies.
     """
     job.queue_items += 1
+    job.claim = None
     pool.last_serial += 1
     rank = int(behind_first_copies)
     item = (rank, job.deadline, pool.last_serial, job.part.id)
--- a/berylspool/version/upstream/balancing.py
+++ b/berylspool/version/upstream/balancing.py
@@ -26,8 +26,12 @@
     "choose_upstream",
     "cost_function",
     "rank_upstreams",
+    "work_ahead",
 ]
 
+# A queue under overload lasts longer than the requests in it, and an entry
+# among dozens hears of it twice a second.
+QUEUE_MEMORY_S = 1.0
 # Share of a request's time that each other request at the upstream is expected
 # to add even while a slot is free.
 CROWDING = 0.1
@@ -98,6 +102,7 @@
     warm_only: bool,
     now: float,
     not_before: float = float("-inf"),
+    max_work_ahead: float | None = None,
 ) -> UpstreamView | None:
     """Choose the upstream for one attempt.
 
@@ -111,6 +116,8 @@
         now: Monotonic time in seconds.
         not_before: Connections that became idle before this time are not
             used, monotonic seconds.
+        max_work_ahead: Upstreams where more work waits for each slot are not
+            used, in requests; None for no limit.
 
     Returns:
         The chosen upstream.  None if no upstream has a free slot and an idle
@@ -124,6 +131,12 @@
         and free_slots(view, now) > 0
         and (not warm_only or is_warm(view.slow_start, view.limits, now))
     ]
+    if max_work_ahead is not None:
+        candidates = [
+            view
+            for view in candidates
+            if work_ahead(view, now) <= max_work_ahead
+        ]
     if tried:
         untried = [v for v in candidates if v.upstream.id not in tried]
         if not untried and _has_untried(views, tried, now):
@@ -198,6 +211,18 @@
             )
 
 
+def work_ahead(view: UpstreamView, now: float) -> float:
+    """Return the work that waits for each slot of an upstream, in requests.
+
+    Unknown slots count as free, so that without reports nothing is held.
+    """
+    if view.slots == 1:
+        return 0.0
+    age_s = now - view.load_reported_at
+    others = view.other_requests * max(0.0, 1.0 - age_s / QUEUE_MEMORY_S)
+    return max(0.0, (view.in_flight + others + 1.0) / view.slots - 1.0)
+
+
 def _expected_work(view: UpstreamView, now: float) -> float:
     """Return the work ahead of a new request and its own, in requests.
 
--- a/berylspool/version/upstream/upstream_view.py
+++ b/berylspool/version/upstream/upstream_view.py
@@ -336,7 +336,9 @@
     match reply:
         case RowsReply():
             on_answer(view.slow_start, now)
-            view.record_reply(is_refusal=False, now=now)
+            if view.refusal_share:
+                view.record_reply(is_refusal=False, now=now)
+            view.last_reply_at = now
             raise_slots_after_pause(view)
             view.reconnect_delay_s = 0.0
         case NotRunReply(reason=Reason.OVERLOAD):
