--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -28,6 +28,12 @@
     "berylspool_parts_total": "Upstream replies, by service and kind.",
     "berylspool_upstream_notices_total": "Notices of upstreams, by kind.",
     "berylspool_upstream_overruns_total": "Responses without end, by excess.",
+    "berylspool_parts_shed_total": "Waiting parts refused, by rank and reason.",
+    "berylspool_part_waits_total": "Parts sent after a wait, by rank.",
+    "berylspool_part_wait_milliseconds_total": "Waits of parts, by rank.",
+    "berylspool_load_view_age_seconds": (
+        "Age of the oldest load view of the latest pool that had a queue."
+    ),
     "berylspool_latency_seconds": "Response time, by route and quantile.",
     "berylspool_busy_seconds": (
         "Processor time during a request, by route and quantile."
--- a/berylspool/common/part_event.py
+++ b/berylspool/common/part_event.py
@@ -5,7 +5,13 @@
 
 from berylspool.common.event import Event
 
-__all__ = ["HedgeDenied", "PartAbandoned", "PartChosen"]
+__all__ = [
+    "HedgeDenied",
+    "PartAbandoned",
+    "PartChosen",
+    "PartShed",
+    "PartsWaited",
+]
 
 
 @dataclass(slots=True)
@@ -86,3 +92,46 @@
     refusals: int
     is_hedge_denied: bool
     connecting: int
+
+
+@dataclass(frozen=True, slots=True)
+class PartShed(Event):
+    """A waiting part was refused, as it would not be sent in time.
+
+    Attributes:
+        part: Id of the part.
+        service: Service of the part.
+        rank: Priority of its request; 0 is the most urgent.
+        reason: Reason of the refusal.
+        waited_ms: Time that the part waited in the pool, in ms.
+        retry_after_ms: Time after which the client may return, in ms.
+    """
+
+    number: ClassVar[int] = 2030
+    part: str
+    service: str
+    rank: int
+    reason: str
+    waited_ms: int
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class PartsWaited(Event):
+    """Parts of a rank were sent after a wait; logged once a second and pool.
+
+    Attributes:
+        service: Service of the pool.
+        rank: Priority of the parts; 0 is the most urgent.
+        parts: Number of them since the line before.
+        wait_ms: Sum of their waits, in ms.
+        load_age_ms: Age of the oldest load view of an upstream of the pool, in
+            ms; an hour without any.
+    """
+
+    number: ClassVar[int] = 2031
+    service: str
+    rank: int
+    parts: int
+    wait_ms: int
+    load_age_ms: int
--- a/berylspool/process/entry/forwarding/request_accounting.py
+++ b/berylspool/process/entry/forwarding/request_accounting.py
@@ -17,7 +17,9 @@
     make_series,
     record_busy_time,
     record_latency,
+    set_gauge,
 )
+from berylspool.common.part_event import PartChosen, PartShed, PartsWaited
 from berylspool.common.request_event import RequestEnded
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
@@ -80,14 +82,32 @@
 
 
 def count_event(metrics: Metrics, event: Event) -> None:
-    """Count what a pool has logged of an upstream."""
+    """Count what a pool has logged of an upstream or of its queue."""
     match event:
+        case PartChosen():
+            # The usual event.
+            return
         case UpstreamNoticed(notice=notice):
             name = "berylspool_upstream_notices_total"
             increment_counter(metrics, name, notice=notice)
         case UpstreamOverran(excess=excess):
             name = "berylspool_upstream_overruns_total"
             increment_counter(metrics, name, excess=excess)
+        case PartShed(rank=rank, reason=reason):
+            name = "berylspool_parts_shed_total"
+            increment_counter(metrics, name, rank=str(rank), reason=reason)
+        case PartsWaited():
+            _count_waits(metrics, event)
+
+
+def _count_waits(metrics: Metrics, event: PartsWaited) -> None:
+    rank = str(event.rank)
+    waits = make_series("berylspool_part_waits_total", rank=rank)
+    wait_ms = make_series("berylspool_part_wait_milliseconds_total", rank=rank)
+    metrics.counter_by_series[waits] += event.parts
+    metrics.counter_by_series[wait_ms] += event.wait_ms
+    age_s = event.load_age_ms / MS_PER_S
+    set_gauge(metrics, "berylspool_load_view_age_seconds", age_s)
 
 
 def count_reply(metrics: Metrics, observed_reply: ObservedReply) -> None:
--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -52,6 +52,7 @@
     DiscardPart,
     Origin,
     RunPart,
+    RunParts,
     Subscribe,
     Unsubscribe,
 )
@@ -246,6 +247,8 @@
                 self._pools.forget_unlisted(ids)
             case SlownessJudged():
                 self._pools.judge(message)
+            case RunParts() if self._turn_away(message):
+                pass
             case _:
                 for action in step(self.routing, message, self._clock()):
                     self._perform(action)
@@ -253,6 +256,15 @@
                     self.member_table.publish(self.routing.active_table)
                     self._update_links(message)
 
+    def _turn_away(self, message: RunParts) -> bool:
+        """Refuse a request that cannot be served in time, as a whole."""
+        refusal = self._pools.turn_away(message.parts, message.min_coverage)
+        inbox = self._inbox_by_request.get(message.origin.id)
+        if refusal is None or inbox is None:
+            return False
+        inbox.put(refusal)
+        return True
+
     def _perform(self, action: RoutingAction) -> None:
         match action:
             case SendToPool(key=key, event=event):
--- a/berylspool/request/part_message.py
+++ b/berylspool/request/part_message.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 from berylspool.common.mailbox import Mailbox
-from berylspool.request.query import Part
+from berylspool.request.query import Part, Reason
 
 __all__ = [
     "DiscardPart",
     "Origin",
+    "RequestTurnedAway",
     "RunPart",
     "RunParts",
     "Subscribe",
@@ -49,10 +50,26 @@
     Attributes:
         origin: The request.
         parts: Parts to run.
+        min_coverage: Share of the parts that the request needs; if it cannot
+            be had in time, none of the parts is run. 0 to run them anyway.
     """
 
     origin: Origin
     parts: list[Part]
+    min_coverage: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTurnedAway:
+    """None of the parts of a request is run.
+
+    Attributes:
+        reason: Why not.
+        retry_after_s: Time after which a retry may succeed, in seconds.
+    """
+
+    reason: Reason
+    retry_after_s: float
 
 
 @dataclass(slots=True)
--- a/berylspool/request/request_task.py
+++ b/berylspool/request/request_task.py
@@ -21,11 +21,12 @@
 from berylspool.request.part_message import (
     DiscardPart,
     Origin,
+    RequestTurnedAway,
     RunParts,
     Subscribe,
     Unsubscribe,
 )
-from berylspool.request.query import Outcome, Part, Query
+from berylspool.request.query import Outcome, Part, Query, Refusal
 
 __all__ = ["RequestTask"]
 
@@ -54,6 +55,7 @@
         self._router = router
         self._clock = clock
         self._origin = Origin(query.id)
+        self._has_begun = False
 
     def notify_disconnect(self) -> None:
         """Notify the task that the caller has closed its connection."""
@@ -105,6 +107,13 @@
 
     def _apply_events(self, state: FanOut, events: list[Any]) -> Outcome | None:
         for event in events:
+            if isinstance(event, RequestTurnedAway):
+                return Refusal(
+                    self._query.id,
+                    event.reason,
+                    not_run=not state.may_have_run,
+                    retry_after_s=event.retry_after_s,
+                )
             actions = step(state, event, self._clock())
             outcome = self._perform_actions(actions) if actions else None
             if outcome is not None:
@@ -129,5 +138,8 @@
     def _run_parts(self, parts: list[Part]) -> list[Part]:
         """Send parts to the router; return the parts that are still to send."""
         if parts:
-            self._router.put(RunParts(self._origin, parts))
+            # Parts that are sent later belong to a request that has begun.
+            min_coverage = 0.0 if self._has_begun else self._query.min_coverage
+            self._has_begun = True
+            self._router.put(RunParts(self._origin, parts, min_coverage))
         return []
--- a/berylspool/version/overload/retry_after.py
+++ b/berylspool/version/overload/retry_after.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass, field
 
+from berylspool.version.upstream.notices import spread_fraction
+
 __all__ = [
     "FreeRate",
     "ReturnPlan",
@@ -9,6 +11,7 @@
     "end_of_wait",
     "free_rate_per_s",
     "record_freed",
+    "unbooked_return_s",
 ]
 
 FREE_EWMA_WEIGHT = 0.1
@@ -76,6 +79,23 @@
     return 1.0 / interval_s
 
 
+def unbooked_return_s(rate: FreeRate, waiting: int, part_id: str) -> float:
+    """Return when capacity may be free for a part that upstreams refused.
+
+    Args:
+        rate: Sends so far.
+        waiting: Parts that wait.
+        part_id: Id of the part, which spreads the clients.
+
+    Returns:
+        Seconds; 0 if the rate is not known.
+    """
+    if rate.interval_s is None:
+        return 0.0
+    spread = 1.0 + SPREAD_SHARE * spread_fraction(part_id)
+    return min((waiting + 1) * rate.interval_s, MAX_RETURN_S) * spread
+
+
 @dataclass(slots=True)
 class ReturnPlan:
     """Times at which refused clients return.
--- a/berylspool/version/overload/tests/played_load.py
+++ b/berylspool/version/overload/tests/played_load.py
@@ -18,10 +18,10 @@
 from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
     AttemptAnswered,
-    CancelAttempt,
     CloseConnection,
     ConnectionClosed,
     ConnectionOpened,
+    Log,
     NotRunReply,
     OpenConnection,
     PartArrived,
@@ -188,8 +188,8 @@
                     self.send(action)
                 case SendResult(result=result):
                     play.record(result)
-                case CancelAttempt():
-                    pass
+                case Log(event=event):
+                    play.logged.append(event)
         wake_at = play.now + max(max_wait_s(self.pool, play.now), 0.0001)
         if wake_at < self.wake_at or self.wake_at <= play.now:
             self.wake_at = wake_at
@@ -221,6 +221,7 @@
         tally_by_stream: What became of the requests, by stream.
         sent: Time and part of each copy sent.
         refused: Parts that were refused.
+        logged: Log events of the pools.
     """
 
     def __init__(
@@ -232,6 +233,7 @@
         self.events = []
         self.sent = []
         self.refused = []
+        self.logged = []
         self.tally_by_stream = {stream.name: Tally() for stream in streams}
         self.part_by_id = {}
         self.upstream_by_id = {
--- a/berylspool/version/overload/waiting.py
+++ b/berylspool/version/overload/waiting.py
@@ -7,6 +7,7 @@
 import heapq
 from collections.abc import Callable
 
+from berylspool.common.part_event import PartShed, PartsWaited
 from berylspool.request.query import Part, PartRefused, Reason
 from berylspool.version.overload.precedence import (
     Claim,
@@ -21,12 +22,14 @@
     record_freed,
 )
 from berylspool.version.overload.shedding import (
+    Waits,
     find_hopeless,
     note_refused,
+    take_waits,
     was_refused,
 )
 from berylspool.version.pool.hedging import take_back_deposit
-from berylspool.version.pool.message import PoolAction
+from berylspool.version.pool.message import Log, PoolAction
 from berylspool.version.pool.state import Job, Pool, finish_job
 from berylspool.version.upstream.notices import spread_fraction
 from berylspool.version.upstream.upstream_view import (
@@ -49,6 +52,9 @@
 # each of its slots: with none, its slots would idle until the next report.
 MAX_WORK_AHEAD = 0.5
 
+MS_PER_S = 1000.0
+# Age to report of a load view that has had no report.
+MAX_AGE_S = 3600.0
 MAX_SKIPPED_PARTS = 16
 # A search costs as much as several sends if many parts wait.
 CHECK_INTERVAL_S = 0.01
@@ -74,9 +80,6 @@
     if job.claim is None:
         job.claim = make_claim(pool, job.part, job.arrived_at, job.deadline)
         job.claim.is_hedge = bool(job.attempt_by_id)
-        job.claim.is_returned = was_refused(
-            pool.shedding, job.part.fingerprint, job.arrived_at
-        )
         job.claim.is_sent = job.has_run or bool(job.attempt_by_id)
     return job.claim
 
@@ -93,9 +96,12 @@
         deadline: Time by which it must have a result, monotonic seconds.
     """
     work_s = pool.usual_latency_by_route.get(part.route, pool.mean_latency_s)
+    is_returned = was_refused(pool.shedding, part.fingerprint, arrived_at)
     forward = part.forward
     if forward is None:
-        return Claim(0, "", False, arrived_at, deadline, deadline, work_s)
+        return Claim(
+            0, "", False, arrived_at, deadline, deadline, work_s, is_returned
+        )
     return Claim(
         forward.rank,
         forward.customer,
@@ -104,6 +110,7 @@
         deadline - forward.grace_s,
         deadline,
         work_s,
+        is_returned,
     )
 
 
@@ -163,6 +170,9 @@
     heapq.heapify(pool.queue)
     record_send(pool.precedence, claim, now)
     record_freed(pool.shedding.free_rate, now)
+    waits = pool.shedding.waits_by_rank.setdefault(claim.rank, Waits())
+    waits.count += 1
+    waits.total_s += now - claim.arrived_at
     if not pool.queue:
         end_of_wait(pool.shedding.free_rate)
 
@@ -196,7 +206,7 @@
     claims = [claim_of(pool, job) for job in jobs]
     rate_per_s = sending_rate_per_s(pool, now)
     hopeless = find_hopeless(
-        pool.precedence, claims, rate_per_s, max_waiting, now
+        state, pool.precedence, claims, rate_per_s, max_waiting, now
     )
     actions: list[PoolAction] = []
     for index in hopeless:
@@ -214,9 +224,43 @@
         take_back_deposit(pool.budget)
         refusal = PartRefused(job.part.id, Reason.OVERLOAD, delay_s)
         actions += finish_job(pool, job, refusal)
+        actions.append(Log(_describe_refusal(job, rank, refusal, now)))
     if hopeless:
         waiting_jobs(pool)
-    return actions
+    return [*actions, *_report_waits(pool, now)]
+
+
+def _report_waits(pool: Pool, now: float) -> list[PoolAction]:
+    waits_by_rank = take_waits(pool.shedding, now)
+    if not waits_by_rank:
+        return []
+    oldest_at = min(v.load_reported_at for v in pool.view_by_upstream.values())
+    age_ms = round(min(now - oldest_at, MAX_AGE_S) * MS_PER_S)
+    return [
+        Log(
+            PartsWaited(
+                pool.service,
+                rank,
+                waits.count,
+                round(waits.total_s * MS_PER_S),
+                age_ms,
+            )
+        )
+        for rank, waits in waits_by_rank.items()
+    ]
+
+
+def _describe_refusal(
+    job: Job, rank: int, refusal: PartRefused, now: float
+) -> PartShed:
+    return PartShed(
+        job.part.id,
+        job.part.service,
+        rank,
+        refusal.reason,
+        round((now - job.arrived_at) * MS_PER_S),
+        round(refusal.retry_after_s * MS_PER_S),
+    )
 
 
 def sending_rate_per_s(pool: Pool, now: float) -> float:
--- a/berylspool/version/pool/pool_set.py
+++ b/berylspool/version/pool/pool_set.py
@@ -13,8 +13,10 @@
 
 from berylspool.common.event import Event, RequestBlamed
 from berylspool.common.mailbox import Mailbox
-from berylspool.request.query import PartResult
+from berylspool.request.part_message import RequestTurnedAway
+from berylspool.request.query import Part, PartResult
 from berylspool.version.configuration import Upstream
+from berylspool.version.overload.admission_check import turn_away
 from berylspool.version.pool.admission import step
 from berylspool.version.pool.message import (
     AttemptAnswered,
@@ -151,6 +153,8 @@
         # Heap of (time, key); entries that differ from `wake_at` are stale.
         self._wake_times: list[tuple[float, PoolKey]] = []
         self._changed_keys: set[PoolKey] = set()
+        # Pools that have had a queue; it may have been sent since.
+        self._strained_keys: set[PoolKey] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
     def add(self, key: PoolKey) -> None:
@@ -172,6 +176,7 @@
     def remove(self, key: PoolKey) -> None:
         """Remove a pool that has drained, and close its connections."""
         running = self._running_by_key.pop(key, None)
+        self._strained_keys.discard(key)
         if running is not None:
             _stop_tasks(running)
 
@@ -208,6 +213,31 @@
                 self._changed_keys.add(key)
             case _:
                 self._changed_keys.add(key)
+                if pool.queue:
+                    self._strained_keys.add(key)
+
+    def turn_away(
+        self, parts: list[Part], min_coverage: float
+    ) -> RequestTurnedAway | None:
+        """Return the refusal of a request that cannot be served in time.
+
+        Args:
+            parts: Parts of the request, none of which has been sent.
+            min_coverage: Share of the parts that its answer needs.
+        """
+        if not min_coverage or not self._strained_keys:
+            return None
+        strained = []
+        for part in parts:
+            key = (part.service, part.snapshot.version)
+            running = self._running_by_key.get(key)
+            if running is None or key not in self._strained_keys:
+                continue
+            if running.pool.queue:
+                strained.append((running.pool, part))
+            else:
+                self._strained_keys.discard(key)
+        return turn_away(strained, len(parts), min_coverage, self._clock())
 
     def judge(self, judged: SlownessJudged) -> None:
         """Tell the pools of an upstream how all entries judge it."""
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -12,6 +12,7 @@
     UpstreamResponse,
 )
 from berylspool.version.overload.precedence import Claim, Precedence
+from berylspool.version.overload.retry_after import unbooked_return_s
 from berylspool.version.overload.shedding import Shedding
 from berylspool.version.pool.hedging import Budget, HedgeDelay
 from berylspool.version.pool.message import (
@@ -382,12 +383,16 @@
     has_never_run = not job.has_run and not job.attempt_by_id
     result: PartResult
     if has_never_run:
-        result = PartRefused(job.part.id, reason, retry_after_s(pool))
+        result = PartRefused(job.part.id, reason, retry_after_s(pool, job.part))
     else:
         result = PartFailed(job.part.id, reason, job.sends, job.last_response)
     return finish_job(pool, job, result, is_caller_gone)
 
 
-def retry_after_s(pool: Pool) -> float:
-    """Return the time after which a retry is useful, in seconds."""
-    return max(pool.mean_latency_s, MIN_RETRY_AFTER_S)
+def retry_after_s(pool: Pool, part: Part | None = None) -> float:
+    """Return the time after which a retry (of a part) is useful, in seconds."""
+    delay_s = max(pool.mean_latency_s, MIN_RETRY_AFTER_S)
+    if part is None or not pool.queue:
+        return delay_s
+    rate, waiting = pool.shedding.free_rate, len(pool.queue)
+    return max(delay_s, unbooked_return_s(rate, waiting, part.id))
