--- a/berylspool/process/entry/router.py
+++ b/berylspool/process/entry/router.py
@@ -8,7 +8,6 @@
 from berylspool.common.event import (
     Event,
     LinkChanged,
-    MembersChanged,
     ServicePlaced,
 )
 from berylspool.common.mailbox import Mailbox
@@ -17,19 +16,17 @@
 from berylspool.connection.message import (
     AskPart,
     DropPart,
-    Member,
     make_peer_codec,
 )
-from berylspool.connection.peer import Link, LinkServer, Session
+from berylspool.connection.peer import LinkServer, Session
 from berylspool.connection.upstream import NativeTransport
 from berylspool.exception import ProtocolError
+from berylspool.process.entry.peer_links import PeerLinks
 from berylspool.process.entry.routing import RoutingState, step
 from berylspool.process.entry.routing_message import (
     BlameRaised,
     BlameReceived,
     HeldPartsRetryDue,
-    LinkDown,
-    LinkUp,
     LoanReceived,
     PoolDrained,
     ReportTableDrained,
@@ -163,8 +160,12 @@
             clock=clock,
             transport=transport or NativeTransport(),
         )
-        self._link_by_member: dict[str, Link] = {}
-        self._link_task_by_member: dict[str, asyncio.Task[None]] = {}
+        self._peer_links = PeerLinks(
+            routing.name,
+            sink=self._handle_peer_reply,
+            on_change=self.inbox.put,
+            log=log,
+        )
         self._inbox_by_request: dict[str, Mailbox[Any]] = {}
         # Results of this turn, which are passed on together at its end.
         self._results: list[PartResult] = []
@@ -190,8 +191,7 @@
                     self._handle(HeldPartsRetryDue())
         finally:
             self._pools.stop()
-            for task in self._link_task_by_member.values():
-                task.cancel()
+            self._peer_links.stop()
 
     async def _handle_in_turns(self, messages: list[RouterMessage]) -> None:
         """Handle messages; return results each time a few are handled.
@@ -236,7 +236,16 @@
 
     def has_reached_limit(self, key: PoolKey, part_id: str) -> bool:
         """Return whether a part was sent to as many upstreams as may run it."""
-        return self._pools.has_reached_limit(key, part_id)
+        job = self._pools.find_job(key, part_id)
+        forward = job.part.forward if job is not None else None
+        if job is None or forward is None:
+            return False
+        return job.sends - job.refusals >= forward.attempts
+
+    def _is_unsent(self, key: PoolKey, part_id: str) -> bool:
+        """Return whether a part waits in a pool and no copy of it was sent."""
+        job = self._pools.find_job(key, part_id)
+        return job is not None and not job.sends
 
     def _return_results(self) -> None:
         if self._results:
@@ -247,9 +256,12 @@
         match message:
             case PoolMessage():
                 self._pools.receive(message)
-            case ResultsReceived() | RunParts():
+            case ResultsReceived():
                 # The usual messages; the other classes are not compared.
                 self._route(message)
+            case RunParts():
+                if not self._turn_away(message):
+                    self._route(message)
             case Subscribe(request_id=request_id, inbox=inbox):
                 self._inbox_by_request[request_id] = inbox
             case Unsubscribe(request_id=request_id):
@@ -263,7 +275,7 @@
             case TableChanged():
                 self._route(message)
                 self.member_table.publish(self.routing.active_table)
-                self._update_links(message)
+                self._peer_links.update(message.table)
             case _:
                 self._route(message)
 
@@ -274,21 +286,29 @@
     def _withdraw(self, wanted: WithdrawUnsent) -> None:
         inbox = self._inbox_by_request.get(wanted.origin.id)
         if inbox is not None and may_withdraw(
-            self.routing, self._pools.is_unsent, wanted.part_ids
+            self.routing, self._is_unsent, wanted.part_ids
         ):
             for part_id in wanted.part_ids:
                 self._handle(DiscardPart(part_id))
             inbox.put(PartsWithdrawn())
 
+    def _turn_away(self, message: RunParts) -> bool:
+        """Refuse a request that cannot be served in time, as a whole."""
+        refusal = self._pools.turn_away(message.parts, message.min_coverage)
+        inbox = self._inbox_by_request.get(message.origin.id)
+        if refusal is None or inbox is None:
+            return False
+        inbox.put(refusal)
+        return True
+
     def _perform(self, action: RoutingAction) -> None:
         match action:
             case SendToPool(key=key, event=event):
                 self._pools.handle(key, event)
             case SendToPeer(member=member, message=message):
-                self._send_to_peer(member, message)
+                self._peer_links.send(member, message)
             case SendToAllPeers(message=blame):
-                for link in self._link_by_member.values():
-                    link.inbox.put(blame)
+                self._peer_links.send_to_all(blame)
             case SendAllToOrigin(origin=origin, results=results):
                 self._send_to_origin(origin, results)
             case SendToOrigin(origin=origin, result=result):
@@ -300,15 +320,6 @@
             case ReportTableDrained(epoch=epoch):
                 self._on_table_drained(epoch)
 
-    def _send_to_peer(
-        self, member: str, message: AskPart | DropPart | Blame
-    ) -> None:
-        link = self._link_by_member.get(member)
-        if link is None:
-            self.inbox.put(LinkDown(member))
-        else:
-            link.inbox.put(message)
-
     def _send_to_origin(
         self, origin: Origin, results: list[PartResult]
     ) -> None:
@@ -326,55 +337,6 @@
         epoch = self.routing.active_table.epoch
         self._log(ServicePlaced(key[0], self.routing.name, epoch))
 
-    def _update_links(self, message: TableChanged) -> None:
-        """Open and close links so that they match the newest table's members.
-
-        Links to former members are closed only when the table is active.
-        """
-        table = message.table
-        peer_by_name = {
-            name: member
-            for name, member in table.member_by_name.items()
-            if name != self.routing.name
-        }
-        self._log(
-            MembersChanged(
-                table.epoch, ",".join(sorted(peer_by_name)), table.is_active
-            )
-        )
-        for name in self._link_by_member.keys() - peer_by_name.keys():
-            if table.is_active:
-                self._close_link(name)
-        for name in peer_by_name.keys() - self._link_by_member.keys():
-            self._open_link(peer_by_name[name])
-
-    def _open_link(self, member: Member) -> None:
-        name = member.name
-        link = Link(
-            self.routing.name,
-            member.host,
-            member.port,
-            make_peer_codec(),
-            sink=lambda message: self._handle_peer_reply(message),
-            on_open=lambda: self._handle_link_up(name),
-            on_close=lambda: self._handle_link_down(name),
-        )
-        self._link_by_member[name] = link
-        self._link_task_by_member[name] = asyncio.ensure_future(link.run())
-
-    def _close_link(self, name: str) -> None:
-        del self._link_by_member[name]
-        self._link_task_by_member.pop(name).cancel()
-        self.inbox.put(LinkDown(name))
-
-    def _handle_link_up(self, name: str) -> None:
-        self._log(LinkChanged(name, "up"))
-        self.inbox.put(LinkUp(name))
-
-    def _handle_link_down(self, name: str) -> None:
-        self._log(LinkChanged(name, "down"))
-        self.inbox.put(LinkDown(name))
-
     def _handle_peer_reply(self, message: Any) -> None:
         match message:
             case PartRows() | PartRefused() | PartFailed():
--- a/berylspool/request/query.py
+++ b/berylspool/request/query.py
@@ -111,6 +111,8 @@
             urgent.
         target_latency_s: Target latency of its route, in seconds; 0 if none
             is stated.
+        grace_s: Time between the target latency and the deadline, in seconds;
+            0 without a target latency.
         customer: Name of its customer; empty if it has none.
     """
 
@@ -123,6 +125,7 @@
     hedge_after_s: float | None = None
     rank: int = 0
     target_latency_s: float = 0.0
+    grace_s: float = 0.0
     customer: str = ""
 
 
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -258,6 +258,7 @@
         headers = request.anonymous_headers
     if isinstance(identity, Identified):
         customer = identity.customer
+    target_s = route.target_latency_s or timeout_s
     forward = Forward(
         request.method,
         request.target,
@@ -265,9 +266,10 @@
         request.body,
         is_part=route.is_fan_out,
         attempts=route.max_attempts,
-        hedge_after_s=(route.target_latency_s or timeout_s) * hedge_share,
+        hedge_after_s=target_s * hedge_share,
         rank=route.rank if customer.rank is None else customer.rank,
         target_latency_s=route.target_latency_s,
+        grace_s=max(timeout_s - target_s, 0.0),
         customer=customer.name,
     )
     soft_deadline = None
--- a/berylspool/version/pool/availability.py
+++ b/berylspool/version/pool/availability.py
@@ -32,7 +32,6 @@
     "closed_reason",
     "end_unservable",
     "make_refusal",
-    "may_run_suspect",
     "note_pending_notice",
     "on_notice",
     "on_overrun",
@@ -91,18 +90,6 @@
     pool.noticed_until = max(pool.noticed_until, ends_at)
 
 
-def may_run_suspect(view: UpstreamView, now: float) -> bool:
-    """Return whether a reserved upstream may still run its suspect."""
-    if view.in_flight:
-        return True
-    return (
-        view.is_serving
-        and not view.is_draining
-        and now >= view.paused_until
-        and is_warm(view.slow_start, view.limits, now)
-    )
-
-
 def refusal_reason(pool: Pool, part: Part, now: float) -> Reason | None:
     """Return why a new part must be refused, or None to admit it."""
     if pool.is_closing:
@@ -117,6 +104,9 @@
     reason = closed_reason(pool, now)
     if reason is not None or not pool.queue:
         return reason
+    if now < pool.precedence.mixed_until:
+        # The part that costs least is refused once this one waits, too.
+        return None
     views = _views_for_new_work(pool)
     slots = sum(allowed_slots(v.slow_start, v.limits, now) for v in views)
     expected_s = len(pool.queue) * pool.mean_latency_s / max(slots, 1)
--- a/berylspool/version/pool/state.py
+++ b/berylspool/version/pool/state.py
@@ -11,6 +11,9 @@
     Reason,
     UpstreamResponse,
 )
+from berylspool.version.overload.precedence import Claim, Precedence
+from berylspool.version.overload.retry_after import unbooked_return_s
+from berylspool.version.overload.shedding import Shedding
 from berylspool.version.pool.hedging import Budget, HedgeDelay
 from berylspool.version.pool.message import (
     CancelAttempt,
@@ -37,8 +40,6 @@
     "enqueue_job",
     "fail_job",
     "finish_job",
-    "hedge_delay_s",
-    "may_hedge",
     "retry_after_s",
     "set_timer",
 ]
@@ -143,11 +144,13 @@
         has_run: Whether an upstream may have run it.
         refusals: Number of refusals by upstreams that did not run it.
         warm_only: Whether it must not be sent to cold upstreams.
+        has_reserved: Whether an upstream was reserved for it.
         is_hedge_denied: Whether the budget denied the latest hedge.
         retry_at: Time of a retry that waits for a lent copy, monotonic
             seconds; None if none does.
         last_reason: Reason of the latest failure or refusal.
         last_response: Latest complete error response of an upstream.
+        claim: What decides on its place in the queue; None until it is needed.
     """
 
     part: Part
@@ -161,10 +164,12 @@
     has_run: bool = False
     refusals: int = 0
     warm_only: bool = False
+    has_reserved: bool = False
     is_hedge_denied: bool = False
     retry_at: float | None = None
     last_reason: Reason = Reason.NO_UPSTREAM
     last_response: UpstreamResponse | None = None
+    claim: Claim | None = None
 
 
 @dataclass(slots=True)
@@ -208,6 +213,8 @@
             hold, monotonic seconds.
         hedge_delay: Estimator of the hedge delay.
         observed: Observations of upstreams that are not reported yet.
+        precedence: State of the order of waiting parts of different ranks.
+        shedding: State of the refusals of such parts.
     """
 
     service: str
@@ -235,6 +242,8 @@
     notices: NoticeMemory = field(default_factory=NoticeMemory)
     noticed_until: float = float("-inf")
     observed: list[SlownessObserved] = field(default_factory=list)
+    precedence: Precedence = field(default_factory=Precedence)
+    shedding: Shedding = field(default_factory=Shedding)
     budget: Budget = field(init=False)
     hedge_delay: HedgeDelay = field(init=False)
 
@@ -289,6 +298,7 @@
         behind_first_copies: Whether the copy queues behind all first copies.
     """
     job.queue_items += 1
+    job.claim = None
     pool.last_serial += 1
     rank = int(behind_first_copies)
     item = (rank, job.deadline, pool.last_serial, job.part.id)
@@ -343,9 +353,10 @@
     """Reply with the result and cancel the copies still in flight."""
     actions: list[PoolAction] = [SendResult(result)]
     del pool.job_by_part[job.part.id]
-    for view in pool.view_by_upstream.values():
-        if view.reserved_for == job.part.id:
-            view.reserved_for = None
+    if job.has_reserved:
+        for view in pool.view_by_upstream.values():
+            if view.reserved_for == job.part.id:
+                view.reserved_for = None
     for attempt in job.attempt_by_id.values():
         attempt.is_cancelled = True
         actions.append(
@@ -371,29 +382,17 @@
         reason = Reason.QUARANTINED
     result: PartResult
     if not job.has_run and not job.attempt_by_id:
-        retry_s = retry_after_s(pool)
+        retry_s = retry_after_s(pool, job.part)
         result = PartRefused(job.part.id, reason, retry_s, job.sends)
     else:
         result = PartFailed(job.part.id, reason, job.sends, job.last_response)
     return finish_job(pool, job, result, is_caller_gone)
 
 
-def retry_after_s(pool: Pool) -> float:
-    """Return the time after which a retry is useful, in seconds."""
-    return max(pool.mean_latency_s, MIN_RETRY_AFTER_S)
-
-
-def may_hedge(pool: Pool, job: Job) -> bool:
-    """Return whether one more copy of a part is within its limits."""
-    forward = job.part.forward
-    if forward is None:
-        return job.hedges < pool.tuning.hedges
-    return job.sends - job.refusals < forward.attempts
-
-
-def hedge_delay_s(pool: Pool, job: Job) -> float:
-    """Return the time from a send to the next hedge, in seconds."""
-    forward = job.part.forward
-    if forward is None or forward.hedge_after_s is None:
-        return pool.hedge_delay.delay_s
-    return forward.hedge_after_s
+def retry_after_s(pool: Pool, part: Part | None = None) -> float:
+    """Return the time after which a retry (of a part) is useful, in seconds."""
+    delay_s = max(pool.mean_latency_s, MIN_RETRY_AFTER_S)
+    if part is None or not pool.queue:
+        return delay_s
+    rate, waiting = pool.shedding.free_rate, len(pool.queue)
+    return max(delay_s, unbooked_return_s(rate, waiting, part.id))
--- a/berylspool/version/upstream/balancing.py
+++ b/berylspool/version/upstream/balancing.py
@@ -26,8 +26,16 @@
     "choose_upstream",
     "cost_function",
     "rank_upstreams",
+    "work_ahead",
 ]
 
+# A queue under overload lasts longer than the requests in it, and an entry
+# among dozens hears of it twice a second.
+QUEUE_MEMORY_S = 1.0
+# Share of a request's time that each other request at the upstream is expected
+# to add even while a slot is free.
+CROWDING = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class RandomChoice:
@@ -94,6 +102,7 @@
     warm_only: bool,
     now: float,
     not_before: float = float("-inf"),
+    max_work_ahead: float | None = None,
 ) -> UpstreamView | None:
     """Choose the upstream for one attempt.
 
@@ -107,6 +116,8 @@
         now: Monotonic time in seconds.
         not_before: Connections that became idle before this time are not
             used, monotonic seconds.
+        max_work_ahead: Upstreams where more work waits for each slot are not
+            used, in requests; None for no limit.
 
     Returns:
         The chosen upstream.  None if no upstream has a free slot and an idle
@@ -120,6 +131,12 @@
         and free_slots(view, now) > 0
         and (not warm_only or is_warm(view.slow_start, view.limits, now))
     ]
+    if max_work_ahead is not None:
+        candidates = [
+            view
+            for view in candidates
+            if work_ahead(view, now) <= max_work_ahead
+        ]
     if tried:
         untried = [v for v in candidates if v.upstream.id not in tried]
         if not untried and _has_untried(views, tried, now):
@@ -182,7 +199,7 @@
             return lambda v: (
                 v.expected_slowness(now)
                 * v.expected_attempts(now)
-                * (v.in_flight + v.estimated_other_requests(now) + 1.0)
+                * _expected_work(v, now)
                 + (0.0 if v.upstream.zone == zone else crossing)
             )
         case ZoneAware(zone=zone, crossing_s=crossing_s):
@@ -192,3 +209,27 @@
                 / max(1, allowed_slots(v.slow_start, v.limits, now))
                 + (0.0 if v.upstream.zone == zone else crossing_s)
             )
+
+
+def work_ahead(view: UpstreamView, now: float) -> float:
+    """Return the work that waits for each slot of an upstream, in requests.
+
+    Unknown slots count as free, so that without reports nothing is held.
+    """
+    if view.slots == 1:
+        return 0.0
+    age_s = now - view.load_reported_at
+    others = view.other_requests * max(0.0, 1.0 - age_s / QUEUE_MEMORY_S)
+    return max(0.0, (view.in_flight + others + 1.0) / view.slots - 1.0)
+
+
+def _expected_work(view: UpstreamView, now: float) -> float:
+    """Return the work ahead of a new request and its own, in requests.
+
+    A request for which a slot is free waits for none of the others, but a
+    further one that is sent meanwhile may take that slot.
+    """
+    work = view.in_flight + view.estimated_other_requests(now) + 1.0
+    if view.slots == 1:
+        return work
+    return max(1.0, work / view.slots) + CROWDING * work
