Clients hold a bounded share of memory and descriptors

Cause: tornado's server collects whole bodies, and nothing bounded the sum of what callers, operators and links make a process hold, nor their number. Change: a server of our own on asyncio protocols and httptools for callers, operators and readiness. One budget (a quarter of limits.memory-mb) covers heads, bodies, pipelined bytes, unread responses and each connection; half of the descriptors beyond 200 are for clients. The published limits are read from each version on. A link's first frame has at most 4 KiB, and sessions and long frames are bounded. The reader of an upstream's response gives it away with its body: reader and parser refer to each other, so each closed connection kept its last body until a collection of garbage (that was the memory of the slow readers' test).

--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -28,6 +28,10 @@
     "berylspool_parts_total": "Upstream replies, by service and kind.",
     "berylspool_upstream_notices_total": "Notices of upstreams, by kind.",
     "berylspool_upstream_overruns_total": "Responses without end, by excess.",
+    "berylspool_clients_refused_total": "Refusals by the server, by reason.",
+    "berylspool_clients_dropped_total": "Connections dropped, by reason.",
+    "berylspool_client_connections": "Open connections of clients.",
+    "berylspool_client_bytes": "Memory held for clients, in bytes.",
     "berylspool_latency_seconds": "Response time, by route and quantile.",
     "berylspool_busy_seconds": (
         "Processor time during a request, by route and quantile."
--- a/berylspool/common/request_event.py
+++ b/berylspool/common/request_event.py
@@ -5,7 +5,7 @@
 
 from berylspool.common.event import Event
 
-__all__ = ["RequestEnded"]
+__all__ = ["ClientsRejected", "RequestEnded"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,3 +37,21 @@
     copies: int
     latency_ms: float
     busy_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClientsRejected(Event):
+    """Clients were refused or dropped for the limits of the server.
+
+    Attributes:
+        refused: Number of refusals since the last such line, by reason.
+        dropped: Number of connections dropped since then, by reason.
+        connections: Open connections.
+        held_bytes: Memory held for clients, in bytes.
+    """
+
+    number: ClassVar[int] = 2050
+    refused: dict[str, int]
+    dropped: dict[str, int]
+    connections: int
+    held_bytes: int
--- a/berylspool/connection/peer.py
+++ b/berylspool/connection/peer.py
@@ -1,14 +1,20 @@
 """Links between berylspool processes, with one task for each stream."""
 
 import asyncio
+import contextlib
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from berylspool.common.frame import HEADER_BYTES, Codec, frame_length
+from berylspool.common.frame import (
+    HEADER_BYTES,
+    MAX_FRAME_BYTES,
+    Codec,
+    frame_length,
+)
 from berylspool.common.mailbox import Mailbox
 from berylspool.connection.dialing import open_stream
 from berylspool.connection.message import (
@@ -17,7 +23,11 @@
     Ping,
     Pong,
 )
-from berylspool.exception import FrameError, ProtocolError
+from berylspool.exception import (
+    FrameError,
+    FrameTooLargeError,
+    ProtocolError,
+)
 
 __all__ = ["Link", "LinkServer", "Session"]
 
@@ -30,10 +40,49 @@
 PING_INTERVAL_S = 0.5
 RECEIVE_TIMEOUT_S = 1.5
 MAX_MESSAGES_PER_FRAME = 256
+# Far more than a `Hello` with the name of a peer.
+MAX_HELLO_BYTES = 4096
+# Peers open a few connections each and say `Hello` at once; there are less than
+# a hundred of them.
+MAX_SESSIONS_WITHOUT_HELLO = 64
+MAX_SESSIONS = 512
+# A frame up to this length is read whatever other sessions read.
+MAX_SMALL_FRAME_BYTES = 64 * 1024
+# Longer frames that all sessions of a server may be reading at a time; a frame
+# is at most half as long.
+MAX_READ_BYTES = 2 * MAX_FRAME_BYTES
 
 Sink = Callable[[Any], None]
 
 
+class ReadBudget:
+    """Long frames that all sessions of a server may read at a time."""
+
+    def __init__(self) -> None:
+        self._read_bytes = 0
+
+    @contextlib.contextmanager
+    def take(self, byte_count: int) -> Iterator[None]:
+        """Reserve the memory of a frame while it is read.
+
+        Raises:
+            FrameTooLargeError: Other sessions read too much already.
+        """
+        if byte_count <= MAX_SMALL_FRAME_BYTES:
+            yield
+            return
+        if self._read_bytes + byte_count > MAX_READ_BYTES:
+            raise FrameTooLargeError(
+                f"frame of {byte_count} bytes beside {self._read_bytes} of "
+                "other sessions"
+            )
+        self._read_bytes += byte_count
+        try:
+            yield
+        finally:
+            self._read_bytes -= byte_count
+
+
 async def _write_messages(stream: IOStream, inbox: Mailbox[Any], codec: Codec):
     """Write the messages of the inbox, many in one frame.
 
@@ -47,17 +96,24 @@
 
 
 async def _read_messages(
-    stream: IOStream, codec: Codec, inbox: Mailbox[Any], sink: Sink
+    stream: IOStream,
+    codec: Codec,
+    inbox: Mailbox[Any],
+    sink: Sink,
+    budget: ReadBudget,
 ) -> None:
     """Pass each message to the sink until the stream ends.
 
     Raises:
         TimeoutError: No frame arrived for `RECEIVE_TIMEOUT_S` seconds.
+        FrameTooLargeError: Other streams with this budget read too much.
     """
     while True:
         async with asyncio.timeout(RECEIVE_TIMEOUT_S):
             header = await stream.read_bytes(HEADER_BYTES)
-            body = await stream.read_bytes(frame_length(header))
+            length = frame_length(header)
+            with budget.take(length):
+                body = await stream.read_bytes(length)
         for message in codec.decode(body):
             match message:
                 case Ping():
@@ -69,12 +125,16 @@
 
 
 async def _run_stream(
-    stream: IOStream, codec: Codec, inbox: Mailbox[Any], sink: Sink
+    stream: IOStream,
+    codec: Codec,
+    inbox: Mailbox[Any],
+    sink: Sink,
+    budget: ReadBudget,
 ) -> None:
     """Write and read concurrently until reading ends, then close."""
     writer = asyncio.ensure_future(_write_messages(stream, inbox, codec))
     try:
-        await _read_messages(stream, codec, inbox, sink)
+        await _read_messages(stream, codec, inbox, sink, budget)
     finally:
         writer.cancel()
         stream.close()
@@ -129,7 +189,10 @@
                 await stream.write(self._codec.encode([Hello(self._name)]))
                 self._on_open()
                 backoff_s = INITIAL_BACKOFF_S
-                await _run_stream(stream, self._codec, self.inbox, self._sink)
+                # This process chose the peer, so its frames are not shared out.
+                await _run_stream(
+                    stream, self._codec, self.inbox, self._sink, ReadBudget()
+                )
             except (OSError, TimeoutError, StreamClosedError, FrameError):
                 pass
             finally:
@@ -149,6 +212,7 @@
         id: Id of the session, unique within this process.
         stream: The accepted stream.
         codec: Codec of the link.
+        budget: Budget that it shares with other sessions.
 
     Attributes:
         id: Id of the session.
@@ -156,12 +220,15 @@
         peer: Name of the peer; empty until its `Hello` arrives.
     """
 
-    def __init__(self, id: str, stream: IOStream, codec: Codec) -> None:
+    def __init__(
+        self, id: str, stream: IOStream, codec: Codec, budget: ReadBudget
+    ) -> None:
         self.id = id
         self.inbox: Mailbox[Any] = Mailbox()
         self.peer = ""
         self._stream = stream
         self._codec = codec
+        self._budget = budget
 
     async def run(self, sink: Callable[["Session", Any], None]) -> None:
         """Serve the stream until it ends.
@@ -182,15 +249,23 @@
                 self._codec,
                 self.inbox,
                 lambda message: sink(self, message),
+                self._budget,
             )
         except (OSError, TimeoutError, StreamClosedError):
             pass
         finally:
             self._stream.close()
 
+    def close(self) -> None:
+        """Close the stream, which ends the session."""
+        self._stream.close()
+
     async def _read_hello(self) -> Hello:
         header = await self._stream.read_bytes(HEADER_BYTES)
-        body = await self._stream.read_bytes(frame_length(header))
+        length = frame_length(header)
+        if length > MAX_HELLO_BYTES:
+            raise ProtocolError(f"first frame of {length} bytes is no Hello")
+        body = await self._stream.read_bytes(length)
         messages = self._codec.decode(body)
         match messages:
             case [Hello(protocol=protocol) as hello] if (
@@ -224,13 +299,23 @@
         self._sink = sink
         self._on_session_end = on_session_end
         self._session_count = 0
+        self._budget = ReadBudget()
         self.session_by_id: dict[str, Session] = {}
 
     async def handle_stream(self, stream: IOStream, address: Any) -> None:
         """Run the session of one accepted stream."""
+        if len(self.session_by_id) >= MAX_SESSIONS:
+            stream.close()
+            return
+        silent = [s for s in self.session_by_id.values() if not s.peer]
+        if len(silent) >= MAX_SESSIONS_WITHOUT_HELLO:
+            # Sessions are in the order in which they were accepted.
+            silent[0].close()
         stream.set_nodelay(True)
         self._session_count += 1
-        session = Session(str(self._session_count), stream, self._codec)
+        session = Session(
+            str(self._session_count), stream, self._codec, self._budget
+        )
         self.session_by_id[session.id] = session
         error: ProtocolError | None = None
         try:
--- a/berylspool/exception.py
+++ b/berylspool/exception.py
@@ -18,6 +18,7 @@
     "PermissionDeniedError",
     "ProtocolError",
     "RequestError",
+    "RequestRejectedError",
     "ResponseTooLargeError",
     "SettingsError",
     "StorageError",
@@ -50,6 +51,20 @@
     """The remote end violated the protocol."""
 
 
+class RequestRejectedError(ProtocolError):
+    """A request of a client is no HTTP, or exceeds a limit.
+
+    Args:
+        status: HTTP status of the refusal.
+        reason: What is wrong, as a label of metrics.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(f"{status} {reason}")
+        self.status = status
+        self.reason = reason
+
+
 class ResponseTooLargeError(ProtocolError):
     """A response exceeds what may be kept of it until it is whole."""
 
--- /dev/null
+++ b/berylspool/platform/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Server for clients that nobody controls."""
--- a/berylspool/platform/document.py
+++ b/berylspool/platform/document.py
@@ -10,6 +10,7 @@
 from berylspool.platform.model import PlatformModel
 from berylspool.version.configuration import Document
 from berylspool.version.forwarding import (
+    CallerLimits,
     ForwardPlan,
     ForwardRoute,
     ForwardService,
@@ -94,6 +95,23 @@
     warmup_per_s: float = 0.0
 
 
+class LimitsModel(PlatformModel):
+    """Limits on the requests of each caller; 0 leaves a default in force.
+
+    Attributes:
+        max_header_bytes: Length of a request's head.
+        max_body_bytes: Length of a request's body.
+        header_timeout_ms: Time for a head to arrive, in milliseconds.
+        idle_timeout_ms: Time without a byte after which a connection is
+            closed, in milliseconds.
+    """
+
+    max_header_bytes: int = Field(0, ge=0, le=MAX_NUMBER)
+    max_body_bytes: int = Field(0, ge=0, le=MAX_NUMBER)
+    header_timeout_ms: float = Field(0.0, ge=0, le=MAX_NUMBER)
+    idle_timeout_ms: float = Field(0.0, ge=0, le=MAX_NUMBER)
+
+
 class ConfigurationModel(PlatformModel):
     """A complete configuration.
 
@@ -101,11 +119,13 @@
         version: Number that the operator gave the configuration.
         routes: All routes.
         services: All services.
+        limits: Limits on the requests of each caller, as in `LimitsModel`.
     """
 
     version: int = Field(ge=0)
     routes: tuple[RouteModel, ...]
     services: tuple[ServiceModel, ...]
+    limits: Any = None
 
 
 def read_document(text: bytes) -> tuple[Document, ForwardPlan]:
@@ -122,7 +142,12 @@
     """
     model = _read_model(text)
     _check_numbers(model)
-    plan = _to_plan(model)
+    try:
+        limits = _to_caller_limits(model)
+    except ValidationError as error:
+        details = error.errors(include_input=False, include_url=False)
+        raise ConfigurationError(f"limits: {details}") from error
+    plan = _to_plan(model, limits)
     return pack_document(plan.number, text), plan
 
 
@@ -168,7 +193,13 @@
     """
     if not document.number:
         return ForwardPlan()
-    return _to_plan(_read_model(unpack_document(document)))
+    model = _read_model(unpack_document(document))
+    try:
+        limits = _to_caller_limits(model)
+    except ValidationError:
+        # An earlier build accepted the plan without reading its limits.
+        limits = CallerLimits()
+    return _to_plan(model, limits)
 
 
 def _read_model(text: bytes) -> ConfigurationModel:
@@ -182,7 +213,7 @@
         raise ConfigurationError(f"invalid JSON: {error}") from error
 
 
-def _to_plan(model: ConfigurationModel) -> ForwardPlan:
+def _to_plan(model: ConfigurationModel, limits: CallerLimits) -> ForwardPlan:
     service_by_name = {
         service.name: ForwardService(
             service.name,
@@ -217,6 +248,25 @@
             for host, routes in routes_by_host.items()
         },
         service_by_name,
+        limits,
+    )
+
+
+def _to_caller_limits(configuration: ConfigurationModel) -> CallerLimits:
+    """Return the limits of callers.
+
+    Raises:
+        ValidationError: They cannot be used.
+    """
+    if configuration.limits is None:
+        return CallerLimits()
+    model = LimitsModel.model_validate(configuration.limits)
+    default = CallerLimits()
+    return CallerLimits(
+        model.max_header_bytes or default.max_head_bytes,
+        model.max_body_bytes or default.max_body_bytes,
+        model.header_timeout_ms / MS_PER_S or default.head_timeout_s,
+        model.idle_timeout_ms / MS_PER_S or default.idle_timeout_s,
     )
 
 
--- a/berylspool/platform/ingress.py
+++ b/berylspool/platform/ingress.py
@@ -1,21 +1,18 @@
 """HTTP servers for callers and for the load balancer's readiness checks."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Awaitable, Callable
 
-from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPServerRequest,
-    ResponseStartLine,
-    responses,
-)
-
 from berylspool.common.event import Event, RequestFailed
-from berylspool.connection.listen import listen
+from berylspool.common.metric import Metrics
+from berylspool.exception import ProtocolError
 from berylspool.platform import headers
+from berylspool.platform.callers.connection import ClientConnection
+from berylspool.platform.callers.holdings import HoldingLimits
+from berylspool.platform.callers.request_reader import ClientRequest
+from berylspool.platform.callers.server import ClientServer
 from berylspool.request.forward_request import ForwardRequest
 from berylspool.request.query import (
     Answer,
@@ -24,13 +21,21 @@
     Refusal,
     UpstreamResponse,
 )
+from berylspool.version.forwarding import CallerLimits
 
 __all__ = ["Ingress", "ReadinessServer", "encode_outcome"]
 
 READY_PATH = "/-/readiness"
-MAX_BODY_BYTES = 8 * 1024 * 1024
-MAX_HEADER_BYTES = 256 * 1024
 MAX_LOGGED_PATH = 200
+MAX_LOGGED_NAME = 80
+HEADER_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+FORBIDDEN_IN_VALUE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# Without limits in the settings: the memory that a process may then use, and
+# the descriptors of the platform's VMs.
+DEFAULT_LIMITS = HoldingLimits(64_000_000, 1_950)
+# The load balancer has a few connections, and sends no bodies.
+READINESS_LIMITS = HoldingLimits(1_000_000, 32)
+READINESS_CLIENT_LIMITS = CallerLimits(16 * 1024, 0, 3.0, 60.0)
 MIN_RETRY_AFTER_S = 0.05
 MS_PER_S = 1000.0
 
@@ -87,6 +92,9 @@
             connection.
         log: Called with each log event.
         listening_socket: Listening socket, if it is open already.
+        limits: Limits on all callers together.
+        get_limits: Returns the limits on each of them.
+        metrics: Metrics of the process.
     """
 
     def __init__(
@@ -95,16 +103,22 @@
         is_closing: Callable[[], bool],
         log: Callable[[Event], None],
         listening_socket: socket.socket | None = None,
+        *,
+        limits: HoldingLimits = DEFAULT_LIMITS,
+        get_limits: Callable[[], CallerLimits] = CallerLimits,
+        metrics: Metrics | None = None,
     ) -> None:
         self._answer = answer
         self._is_closing = is_closing
         self._log = log
-        self._listening_socket = listening_socket
         self._tasks: set[asyncio.Task[None]] = set()
-        self._server = HTTPServer(
+        self._server = ClientServer(
             self._accept,
-            max_body_size=MAX_BODY_BYTES,
-            max_header_size=MAX_HEADER_BYTES,
+            limits,
+            get_limits=get_limits,
+            log=lambda event: self._log(event),
+            metrics=metrics or Metrics(),
+            listening_socket=listening_socket,
         )
 
     def listen(self, address: str) -> None:
@@ -117,31 +131,31 @@
         Raises:
             ListenError: The address cannot be listened on.
         """
-        if self._listening_socket is not None:
-            self._server.add_socket(self._listening_socket)
-            return
-        listen(self._server, address)
+        self._server.listen(address)
 
     def stop_listening(self) -> None:
         """Stop accepting new connections; open ones stay open."""
-        self._server.stop()
+        self._server.stop_listening()
 
     async def close(self) -> None:
         """Close all connections; no request may be in flight."""
-        await self._server.close_all_connections()
+        await self._server.close()
 
-    def _accept(self, request: HTTPServerRequest) -> None:
-        task = asyncio.ensure_future(self._serve(request))
+    def _accept(
+        self, connection: ClientConnection, request: ClientRequest
+    ) -> None:
+        task = asyncio.ensure_future(self._serve(connection, request))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _serve(self, request: HTTPServerRequest) -> None:
-        disconnected = asyncio.Event()
-        connection = request.connection
-        assert isinstance(connection, HTTP1Connection)
-        connection.set_close_callback(disconnected.set)
+    async def _serve(
+        self, connection: ClientConnection, request: ClientRequest
+    ) -> None:
+        gone = connection.gone
+        has_run = True
         try:
-            outcome = await self._answer(_decode_request(request), disconnected)
+            outcome = await self._answer(_decode_request(request), gone)
+            has_run = not (isinstance(outcome, Refusal) and outcome.not_run)
             response = encode_outcome(outcome)
             response_headers = _make_headers(request, response)
         except Exception as error:
@@ -150,71 +164,64 @@
             refusal = Refusal("", Reason.INTERNAL, False, 0.0)
             response = encode_outcome(refusal)
             response_headers = _make_headers(request, response)
-        if disconnected.is_set():
+        if gone.is_set():
+            connection.end_dropped(has_run)
             return
         if self._is_closing():
-            response_headers["Connection"] = "close"
+            response_headers.append(("Connection", "close"))
         try:
             _write(connection, request, response, response_headers)
         except Exception as error:
             # The caller may have a part of the response, which must not look
             # whole, and must not wait for the rest.
             self._log_failure(request, error)
-            connection.close()
+            connection.abort()
 
-    def _log_failure(
-        self, request: HTTPServerRequest, error: Exception
-    ) -> None:
-        self._log(RequestFailed(request.path[:MAX_LOGGED_PATH], repr(error)))
+    def _log_failure(self, request: ClientRequest, error: Exception) -> None:
+        path = request.target.partition("?")[0]
+        self._log(RequestFailed(path[:MAX_LOGGED_PATH], repr(error)))
 
 
 def _make_headers(
-    request: HTTPServerRequest, response: UpstreamResponse
-) -> HTTPHeaders:
+    request: ClientRequest, response: UpstreamResponse
+) -> list[tuple[str, str]]:
     """Return the headers of a response.
 
     Raises:
-        HTTPInputError: A header is not valid in HTTP.
+        ProtocolError: A header is not valid in HTTP.
     """
-    response_headers = HTTPHeaders()
     for name, value in response.headers:
-        response_headers.add(name, value)
+        if not HEADER_NAME.fullmatch(name) or FORBIDDEN_IN_VALUE.search(value):
+            raise ProtocolError(f"invalid header {name[:MAX_LOGGED_NAME]!r}")
+    response_headers = list(response.headers)
     if request.method != "HEAD":
-        response_headers["Content-Length"] = str(len(response.body))
+        response_headers.append(("Content-Length", str(len(response.body))))
     return response_headers
 
 
 def _write(
-    connection: HTTP1Connection,
-    request: HTTPServerRequest,
+    connection: ClientConnection,
+    request: ClientRequest,
     response: UpstreamResponse,
-    response_headers: HTTPHeaders,
+    response_headers: list[tuple[str, str]],
 ) -> None:
-    reason_phrase = responses.get(response.status, "Unknown")
     body = b"" if request.method == "HEAD" else response.body
-    connection.write_headers(
-        ResponseStartLine("HTTP/1.1", response.status, reason_phrase),
-        response_headers,
-        body,
-    )
-    connection.finish()
+    connection.respond(request, response.status, response_headers, body)
 
 
-def _decode_request(request: HTTPServerRequest) -> ForwardRequest:
-    assert request.method is not None and request.uri is not None
+def _decode_request(request: ClientRequest) -> ForwardRequest:
     deadline_ms = headers.parse_whole_number(
-        request.headers.get(headers.REQUEST_DEADLINE, "")
+        request.get(headers.REQUEST_DEADLINE)
     )
     deadline_s = deadline_ms / MS_PER_S if deadline_ms is not None else None
-    host = request.headers.get("Host", "")
     return ForwardRequest(
-        id=request.headers.get(headers.REQUEST_ID, ""),
+        id=request.get(headers.REQUEST_ID),
         method=request.method,
-        host=host.partition(":")[0].lower(),
-        path=request.path,
-        target=request.uri,
+        host=request.get("Host").partition(":")[0].lower(),
+        path=request.target.partition("?")[0],
+        target=request.target,
         headers=headers.select_end_to_end(
-            request.headers.get_all(), {headers.REQUEST_DEADLINE.lower()}
+            request.headers, {headers.REQUEST_DEADLINE.lower()}
         ),
         body=request.body,
         deadline_s=deadline_s,
@@ -226,25 +233,30 @@
 
     Args:
         is_ready: Returns whether this entry accepts new connections.
+        log: Called with each log event.
     """
 
-    def __init__(self, is_ready: Callable[[], bool]) -> None:
+    def __init__(
+        self, is_ready: Callable[[], bool], log: Callable[[Event], None]
+    ) -> None:
         self._is_ready = is_ready
-        self._server = HTTPServer(self._respond)
+        self._server = ClientServer(
+            self._respond,
+            READINESS_LIMITS,
+            get_limits=lambda: READINESS_CLIENT_LIMITS,
+            log=log,
+            metrics=Metrics(),
+        )
 
     def listen(self, address: str) -> None:
         """Start answering readiness checks at an address, as `host:port`."""
-        listen(self._server, address)
+        self._server.listen(address)
 
-    def _respond(self, request: HTTPServerRequest) -> None:
-        is_readiness_path = request.path == READY_PATH
+    def _respond(
+        self, connection: ClientConnection, request: ClientRequest
+    ) -> None:
+        is_readiness_path = request.target.partition("?")[0] == READY_PATH
         status = (
             200 if is_readiness_path and self._is_ready() else STATUS_NOT_RUN
         )
-        connection = request.connection
-        assert connection is not None
-        connection.write_headers(
-            ResponseStartLine("HTTP/1.1", status, responses[status]),
-            HTTPHeaders({"Content-Length": "0"}),
-        )
-        connection.finish()
+        connection.respond(request, status, [("Content-Length", "0")], b"")
--- a/berylspool/platform/operator_server.py
+++ b/berylspool/platform/operator_server.py
@@ -1,15 +1,18 @@
 """HTTP server for the platform's operator."""
 
-from collections.abc import Callable
+import asyncio
+import re
+from collections.abc import Awaitable, Callable
 from typing import Any
+from urllib.parse import unquote
 
 import orjson
 import xxhash
 from pydantic import Field, ValidationError
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
 
+from berylspool.common.event import Event, RequestFailed
 from berylspool.common.mailbox import Mailbox
+from berylspool.common.metric import Metrics
 from berylspool.connection.admin import (
     ChangeRequest,
     CommandFailure,
@@ -18,11 +21,16 @@
     ConfigurationRequest,
     LeaderRedirect,
 )
-from berylspool.connection.listen import listen
 from berylspool.exception import ConfigurationError
+from berylspool.platform.callers.connection import ClientConnection
+from berylspool.platform.callers.holdings import HoldingLimits
+from berylspool.platform.callers.request_reader import ClientRequest
+from berylspool.platform.callers.server import ClientServer
 from berylspool.platform.document import read_document, unpack_document
 from berylspool.platform.model import PlatformModel
+from berylspool.request.query import UpstreamResponse
 from berylspool.version.configuration import Configuration, ZoneState
+from berylspool.version.forwarding import CallerLimits
 from berylspool.version.move import MoveState
 from berylspool.version.operation import (
     MoveService,
@@ -33,10 +41,20 @@
 
 __all__ = ["OperatorServer"]
 
-MAX_BODY_BYTES = 64 * 1024 * 1024
+# A configuration of 300 routes to 135 services each has less than 1 MiB.
+# Operators keep connections open between commands.
+OPERATOR_LIMITS = CallerLimits(
+    max_head_bytes=64 * 1024,
+    max_body_bytes=8 * 1024 * 1024,
+    head_timeout_s=10.0,
+    idle_timeout_s=120.0,
+)
+MAX_ERROR_LENGTH = 2000
+MAX_LOGGED_PATH = 200
 # The operator tries another control node after 1 s without an answer.
 ANSWER_TIMEOUT_S = 4.0
-JSON_CONTENT_TYPE = "application/json"
+
+Handler = Callable[..., Awaitable[UpstreamResponse]]
 
 WORD_BY_MOVE_STATE = {
     MoveState.DONE: "completed",
@@ -59,190 +77,226 @@
     duration_s: float = Field(gt=0)
 
 
-class _OperatorHandler(RequestHandler):
-    """Base of the handlers: sends messages to the control task and responds."""
+class OperatorServer:
+    """HTTP server for the operator.
 
-    def initialize(self, inbox: Mailbox[Any], port: int) -> None:
-        """Store the control task's inbox and the operators' port."""
-        self.inbox = inbox
-        self.port = port
+    Args:
+        port: Port on which the operator reaches every control node.
+        inbox: Inbox of the control task.
+        limits: Limits on all clients together.
+        log: Called with each log event.
+        metrics: Metrics of the process.
+    """
 
-    async def submit_change(
-        self, id: str, operation: Operation, text: str
+    def __init__(
+        self,
+        port: int,
+        inbox: Mailbox[Any],
+        *,
+        limits: HoldingLimits,
+        log: Callable[[Event], None],
+        metrics: Metrics,
     ) -> None:
-        """Propose a change and respond once it is committed or has failed.
+        self._port = port
+        self._inbox = inbox
+        self._log = log
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._routes: tuple[tuple[str, re.Pattern[str], Handler], ...] = (
+            ("POST", re.compile(r"/-/Config\.Replace"), self._replace),
+            ("GET", re.compile(r"/-/Config\.Read"), self._read),
+            ("POST", re.compile(r"/-/Rollouts\.Begin"), self._begin_rollout),
+            ("GET", re.compile(r"/-/Rollouts\.Read/(.+)"), self._read_rollout),
+            (
+                "POST",
+                re.compile(r"/-/Evacuation\.(Begin|Finish)/(.+)"),
+                self._set_zone,
+            ),
+        )
+        self._server = ClientServer(
+            self._accept,
+            limits,
+            get_limits=lambda: OPERATOR_LIMITS,
+            log=log,
+            metrics=metrics,
+        )
 
-        Args:
-            id: Id of the change; a resend has the same one.
-            operation: Change to propose.
-            text: Short description for the history.
-        """
-        change_request = ChangeRequest(id, (operation,), text)
-        self.inbox.put(change_request)
-        replies = await change_request.reply.take(ANSWER_TIMEOUT_S)
-        match replies:
-            case [CommandResult(answer=answer)] if answer.is_accepted:
-                self.set_status(200)
-            case [CommandResult(answer=answer)]:
-                self.respond_error(400, answer.message)
-            case [CommandFailure(error=error)]:
-                self.respond_error(400, str(error))
-            case [LeaderRedirect(leader=leader)]:
-                self.redirect_to(leader)
-            case _:
-                self.respond_error(
-                    503, f"not committed within {ANSWER_TIMEOUT_S} s"
-                )
+    def listen(self, address: str) -> None:
+        """Start accepting connections at an address, as `host:port`."""
+        self._server.listen(address)
 
-    async def read_configuration(self) -> Configuration | None:
-        """Return the newest configuration; respond with an error if unknown."""
-        configuration_request = ConfigurationRequest()
-        self.inbox.put(configuration_request)
-        match await configuration_request.reply.take(ANSWER_TIMEOUT_S):
-            case [CommittedConfiguration(configuration=configuration)]:
-                return configuration
-            case [LeaderRedirect(leader=leader)]:
-                self.redirect_to(leader)
-            case _:
-                self.respond_error(
-                    503,
-                    "the control task did not answer within "
-                    f"{ANSWER_TIMEOUT_S} s",
-                )
-        return None
+    def _accept(
+        self, connection: ClientConnection, request: ClientRequest
+    ) -> None:
+        task = asyncio.ensure_future(self._serve(connection, request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
-    def redirect_to(self, leader: str) -> None:
-        """Redirect to the leader, or respond that no leader is known."""
-        if not leader:
-            self.respond_error(503, "no leader is known")
+    async def _serve(
+        self, connection: ClientConnection, request: ClientRequest
+    ) -> None:
+        gone = connection.gone
+        if gone.is_set():
+            connection.end_dropped(has_run=False)
             return
-        self.set_status(307)
-        location = f"http://{leader}:{self.port}{self.request.uri}"
-        self.set_header("Location", location)
-
-    def respond_error(self, status: int, message: str) -> None:
-        """Respond that the request was not carried out."""
-        self.set_status(status)
-        self.set_header("Content-Type", JSON_CONTENT_TYPE)
-        self.write(orjson.dumps({"error": message[:2000]}))
-
-
-class ReplaceConfigurationHandler(_OperatorHandler):
-    """Publishes a complete configuration."""
+        path = request.target.partition("?")[0]
+        try:
+            response = await self._answer(request, unquote(path))
+        except Exception as error:
+            # A defect that one request meets must not leave its sender waiting.
+            self._log(RequestFailed(path[:MAX_LOGGED_PATH], repr(error)))
+            response = _make_error(500, "internal error")
+        if gone.is_set():
+            connection.end_dropped(has_run=True)
+            return
+        length = ("Content-Length", str(len(response.body)))
+        body = b"" if request.method == "HEAD" else response.body
+        connection.respond(
+            request, response.status, [*response.headers, length], body
+        )
 
-    async def post(self) -> None:
-        """Respond once the configuration is committed."""
-        body = self.request.body
+    async def _answer(
+        self, request: ClientRequest, path: str
+    ) -> UpstreamResponse:
+        """Return the response to a request."""
+        for method, pattern, handler in self._routes:
+            match = pattern.fullmatch(path)
+            if match is not None:
+                if request.method != method:
+                    return _make_error(405, f"use {method}")
+                return await handler(request, *match.groups())
+        return _make_error(404, "unknown path")
+
+    async def _replace(self, request: ClientRequest) -> UpstreamResponse:
+        """Publish a complete configuration; answer once it is committed."""
+        body = request.body
         try:
             document, _ = read_document(body)
         except ConfigurationError as error:
-            self.respond_error(400, str(error))
-            return
+            return _make_error(400, str(error))
         digest = xxhash.xxh3_64_hexdigest(body)
         id = f"plan/{document.number}/{digest}"
         text = f"plan {document.number}"
-        await self.submit_change(id, Publish(document), text)
-
-
-class ReadConfigurationHandler(_OperatorHandler):
-    """Returns the newest configuration."""
-
-    async def get(self) -> None:
-        """Respond with the text that the operator published."""
-        configuration = await self.read_configuration()
-        if configuration is None:
-            return
-        if not configuration.document.number:
-            self.respond_error(503, "no configuration has been published yet")
-            return
-        self.set_header("Content-Type", JSON_CONTENT_TYPE)
-        self.write(unpack_document(configuration.document))
-
-
-class BeginRolloutHandler(_OperatorHandler):
-    """Starts the move of a service to another software version."""
-
-    async def post(self) -> None:
-        """Respond once the move is committed."""
+        return await self._submit(request, id, Publish(document), text)
+
+    async def _read(self, request: ClientRequest) -> UpstreamResponse:
+        """Return the text of the newest configuration as it was published."""
+        configuration = await self._read_configuration(request)
+        if isinstance(configuration, UpstreamResponse):
+            return configuration
+        document = configuration.document
+        if not document.number:
+            return _make_error(503, "no configuration has been published yet")
+        return _make_json(200, unpack_document(document))
+
+    async def _begin_rollout(self, request: ClientRequest) -> UpstreamResponse:
+        """Move a service to another software version."""
         try:
-            model = RolloutModel.model_validate_json(self.request.body)
+            model = RolloutModel.model_validate_json(request.body)
         except ValidationError as error:
-            self.respond_error(400, str(error))
-            return
+            return _make_error(400, str(error))
         service, version = model.service, model.target_version
         operation = MoveService(service, version, model.duration_s)
         # The revision is part of the id, because moves to another version and
         # back again are separate changes.  A resend may get another id; it
         # changes nothing, because the latest move has the same version.
-        configuration = await self.read_configuration()
-        if configuration is None:
-            return
+        configuration = await self._read_configuration(request)
+        if isinstance(configuration, UpstreamResponse):
+            return configuration
         id = f"move/{service}/{version}/{configuration.revision}"
-        await self.submit_change(id, operation, f"move {service} to {version}")
-
-
-class ReadRolloutHandler(_OperatorHandler):
-    """Returns the state of the move of a service."""
-
-    async def get(self, service: str) -> None:
-        """Respond with the state and the target version of the move."""
-        configuration = await self.read_configuration()
-        if configuration is None:
-            return
+        text = f"move {service} to {version}"
+        return await self._submit(request, id, operation, text)
+
+    async def _read_rollout(
+        self, request: ClientRequest, service: str
+    ) -> UpstreamResponse:
+        """Return the state and the target version of the move of a service."""
+        configuration = await self._read_configuration(request)
+        if isinstance(configuration, UpstreamResponse):
+            return configuration
         move = configuration.move_by_route.get(service)
         if move is None:
-            self.respond_error(404, f"no move of service {service!r}")
-            return
+            return _make_error(404, f"no move of service {service!r}")
         body = {
             "state": WORD_BY_MOVE_STATE.get(move.state, "running"),
             "target-version": move.new,
         }
-        self.set_header("Content-Type", JSON_CONTENT_TYPE)
-        self.write(orjson.dumps(body))
-
-
-class ZoneHandler(_OperatorHandler):
-    """Takes an availability zone out of service, or back into service."""
-
-    async def post(self, action: str, zone: str) -> None:
-        """Respond once the change is committed."""
-        is_evacuation = action == "Begin"
-        configuration = await self.read_configuration()
-        if configuration is None:
-            return
-        zone_state = ZoneState.OUT if is_evacuation else ZoneState.IN
+        return _make_json(200, orjson.dumps(body))
+
+    async def _set_zone(
+        self, request: ClientRequest, action: str, zone: str
+    ) -> UpstreamResponse:
+        """Take an availability zone out of service, or back into service."""
+        configuration = await self._read_configuration(request)
+        if isinstance(configuration, UpstreamResponse):
+            return configuration
+        zone_state = ZoneState.OUT if action == "Begin" else ZoneState.IN
         id = f"zone/{zone}/{zone_state}/{configuration.revision}"
-        await self.submit_change(
-            id, SetZone(zone, zone_state), f"zone {zone} {zone_state}"
-        )
+        text = f"zone {zone} {zone_state}"
+        return await self._submit(request, id, SetZone(zone, zone_state), text)
+
+    async def _submit(
+        self,
+        request: ClientRequest,
+        id: str,
+        operation: Operation,
+        text: str,
+    ) -> UpstreamResponse:
+        """Propose a change and respond once it is committed or has failed.
 
+        Args:
+            request: Request of the operator.
+            id: Id of the change; a resend has the same one.
+            operation: Change to propose.
+            text: Short description for the history.
+        """
+        change_request = ChangeRequest(id, (operation,), text)
+        self._inbox.put(change_request)
+        match await change_request.reply.take(ANSWER_TIMEOUT_S):
+            case [CommandResult(answer=answer)] if answer.is_accepted:
+                return UpstreamResponse(200, (), b"")
+            case [CommandResult(answer=answer)]:
+                return _make_error(400, answer.message)
+            case [CommandFailure(error=error)]:
+                return _make_error(400, str(error))
+            case [LeaderRedirect(leader=leader)]:
+                return self._redirect_to(leader, request)
+            case _:
+                return _make_error(
+                    503, f"not committed within {ANSWER_TIMEOUT_S} s"
+                )
 
-class OperatorServer:
-    """HTTP server for the operator.
+    async def _read_configuration(
+        self, request: ClientRequest
+    ) -> Configuration | UpstreamResponse:
+        """Return the newest configuration, or a response if it is unknown."""
+        configuration_request = ConfigurationRequest()
+        self._inbox.put(configuration_request)
+        match await configuration_request.reply.take(ANSWER_TIMEOUT_S):
+            case [CommittedConfiguration(configuration=configuration)]:
+                return configuration
+            case [LeaderRedirect(leader=leader)]:
+                return self._redirect_to(leader, request)
+        return _make_error(
+            503,
+            f"the control task did not answer within {ANSWER_TIMEOUT_S} s",
+        )
 
-    Args:
-        port: Port on which the operator reaches every control node.
-        inbox: Inbox of the control task.
-    """
+    def _redirect_to(
+        self, leader: str, request: ClientRequest
+    ) -> UpstreamResponse:
+        """Return a redirect to the leader, or that no leader is known."""
+        if not leader:
+            return _make_error(503, "no leader is known")
+        location = f"http://{leader}:{self._port}{request.target}"
+        return UpstreamResponse(307, (("Location", location),), b"")
 
-    def __init__(self, port: int, inbox: Mailbox[Any]) -> None:
-        arguments = {"inbox": inbox, "port": port}
-        routes: list[tuple[str, type[RequestHandler], dict[str, Any]]] = [
-            (r"/-/Config\.Replace", ReplaceConfigurationHandler, arguments),
-            (r"/-/Config\.Read", ReadConfigurationHandler, arguments),
-            (r"/-/Rollouts\.Begin", BeginRolloutHandler, arguments),
-            (r"/-/Rollouts\.Read/(.+)", ReadRolloutHandler, arguments),
-            (r"/-/Evacuation\.(Begin|Finish)/(.+)", ZoneHandler, arguments),
-        ]
-        application = Application(
-            routes,  # type: ignore[arg-type]
-            log_function=_log_nothing,
-        )
-        self._server = HTTPServer(application, max_buffer_size=MAX_BODY_BYTES)
 
-    def listen(self, address: str) -> None:
-        """Start accepting connections at an address, as `host:port`."""
-        listen(self._server, address)
+def _make_json(status: int, body: bytes) -> UpstreamResponse:
+    content_type = ("Content-Type", "application/json")
+    return UpstreamResponse(status, (content_type,), body)
 
 
-_log_nothing: Callable[[Any], None] = lambda handler: None  # noqa: E731
+def _make_error(status: int, message: str) -> UpstreamResponse:
+    """Return the response to a request that was not carried out."""
+    body = orjson.dumps({"error": message[:MAX_ERROR_LENGTH]})
+    return _make_json(status, body)
--- a/berylspool/platform/roles.py
+++ b/berylspool/platform/roles.py
@@ -13,6 +13,7 @@
     PlatformSettings,
     read_settings,
     settings_path,
+    to_holding_limits,
     to_memory_limits,
     to_settings,
 )
@@ -70,9 +71,15 @@
         log=log,
     )
     role.caller_listener = Ingress(
-        role.handler.answer, lambda: role.is_closing, log.put, caller_socket
+        role.handler.answer,
+        lambda: role.is_closing,
+        log.put,
+        caller_socket,
+        limits=to_holding_limits(platform_settings),
+        get_limits=lambda: role.state.view.value.plan.caller_limits,
+        metrics=role.metrics,
     )
-    readiness_server = ReadinessServer(lambda: role.is_ready)
+    readiness_server = ReadinessServer(lambda: role.is_ready, log.put)
     readiness_server.listen(platform_settings.listen["readiness-address"])
     ScrapeServer(role.metrics).listen(
         f"{platform_settings.ip}:{ENTRY_METRICS_PORT}"
@@ -105,7 +112,13 @@
     log = LogTask(output=log_to_standard_output())
     operator_port = int(platform_settings.listen["control"].rpartition(":")[2])
     platform = PlatformIntegration(
-        make_operator_server=lambda inbox: OperatorServer(operator_port, inbox),
+        make_operator_server=lambda inbox, metrics: OperatorServer(
+            operator_port,
+            inbox,
+            limits=to_holding_limits(platform_settings),
+            log=log.put,
+            metrics=metrics,
+        ),
         list_reader=ListClient(platform_settings.cloud.address, log.put),
         peer_port=platform_settings.control_port,
         voter_count=platform_settings.voter_count,
--- a/berylspool/platform/settings.py
+++ b/berylspool/platform/settings.py
@@ -8,6 +8,7 @@
 from pydantic import Field, ValidationError
 
 from berylspool.exception import SettingsError
+from berylspool.platform.callers.holdings import HoldingLimits
 from berylspool.platform.model import PlatformModel
 from berylspool.process.settings import (
     ControlSettings,
@@ -22,6 +23,7 @@
     "PlatformSettings",
     "read_settings",
     "settings_path",
+    "to_holding_limits",
     "to_memory_limits",
     "to_settings",
 ]
@@ -43,6 +45,15 @@
 MS_PER_S = 1000.0
 # Less than this does not hold the program.
 MIN_MEMORY_MB = 64
+# Share of a process's memory for what clients make it hold. A process starts
+# with 48 MB, and keeps 0.15 for responses of upstreams.
+CLIENT_MEMORY_SHARE = 0.25
+DEFAULT_MAX_FDS = 4_100
+# Descriptors for files, listeners, links and a start of connections to
+# upstreams; of the others, clients get this share.
+RESERVED_FDS = 200
+CLIENT_FD_SHARE = 0.5
+MIN_CLIENT_CONNECTIONS = 16
 
 
 class Tolerance(PlatformModel):
@@ -83,9 +94,11 @@
 
     Attributes:
         memory_mb: Memory of a process, in MB; 0 if no limit is stated.
+        max_fds: Open descriptors of a process; 0 if no limit is stated.
     """
 
     memory_mb: float = 0.0
+    max_fds: float = 0.0
 
 
 class Cloud(PlatformModel):
@@ -183,6 +196,17 @@
     return MemoryLimits(megabytes=max(int(memory_mb), MIN_MEMORY_MB))
 
 
+def to_holding_limits(platform_settings: PlatformSettings) -> HoldingLimits:
+    """Translate the limits of the VM into those on all clients together."""
+    memory = to_memory_limits(platform_settings)
+    max_fds = platform_settings.limits.max_fds or DEFAULT_MAX_FDS
+    connections = int((max_fds - RESERVED_FDS) * CLIENT_FD_SHARE)
+    return HoldingLimits(
+        int(memory.bytes * CLIENT_MEMORY_SHARE),
+        max(connections, MIN_CLIENT_CONNECTIONS),
+    )
+
+
 def to_settings(platform_settings: PlatformSettings) -> Settings:
     """Translate the platform's settings into those of the project.
 
--- a/berylspool/platform/tests/test_document.py
+++ b/berylspool/platform/tests/test_document.py
@@ -10,7 +10,7 @@
     read_document,
     unpack_document,
 )
-from berylspool.version.forwarding import find_route
+from berylspool.version.forwarding import CallerLimits, find_route
 
 
 def make_configuration(version=7, **changes):
@@ -140,3 +140,25 @@
     data["routes"][0]["target-latency-ms"] = -5
     document = pack_document(7, orjson.dumps(data))
     assert decode_plan(document).number == 7
+
+
+def test_limits_of_callers_are_decoded_and_have_defaults():
+    """A plan without them would refuse what was served before."""
+    document = make_configuration(
+        limits={"max-body-bytes": 262_144, "header-timeout-ms": 3000}
+    )
+    limits = decode_plan(read_document(document)[0]).caller_limits
+    default = CallerLimits()
+    assert limits == CallerLimits(
+        default.max_head_bytes, 262_144, 3.0, default.idle_timeout_s
+    )
+
+
+@pytest.mark.parametrize("value", [-1, "x", 10**12])
+def test_unusable_limit_of_callers_is_refused(value):
+    """One that an earlier build accepted unread must not stop an entry."""
+    text = make_configuration(limits={"max-body-bytes": value})
+    with pytest.raises(ConfigurationError):
+        read_document(text)
+    stored = decode_plan(pack_document(7, text))
+    assert stored.number == 7 and stored.caller_limits == CallerLimits()
--- a/berylspool/platform/tests/test_settings.py
+++ b/berylspool/platform/tests/test_settings.py
@@ -6,6 +6,7 @@
 from berylspool.platform.settings import (
     MIN_MEMORY_MB,
     read_settings,
+    to_holding_limits,
     to_memory_limits,
 )
 from berylspool.process.settings import MemoryLimits
@@ -36,3 +37,20 @@
     fields = SETTINGS if limits is None else {**SETTINGS, "limits": limits}
     path.write_bytes(orjson.dumps(fields))
     assert to_memory_limits(read_settings(path)).megabytes == megabytes
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({"memory-mb": 200, "max-fds": 4100}, (50_000_000, 1950)),
+        ({"memory-mb": 100, "max-fds": 500}, (25_000_000, 150)),
+        ({"memory-mb": 100, "max-fds": 10}, (25_000_000, 16)),
+        ({}, (64_000_000, 1950)),
+    ],
+)
+def test_clients_get_a_share_of_the_limits(tmp_path, limits, expected):
+    """Without room for upstreams and control, callers would take it all."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(orjson.dumps({**SETTINGS, "limits": limits}))
+    holding = to_holding_limits(read_settings(path))
+    assert (holding.max_bytes, holding.max_connections) == expected
--- a/berylspool/platform/upstream/codec.py
+++ b/berylspool/platform/upstream/codec.py
@@ -5,7 +5,7 @@
 from itertools import chain
 
 from berylspool.platform import headers
-from berylspool.platform.upstream.response import Response, to_key
+from berylspool.platform.upstream.received import Response, to_key
 from berylspool.request.query import (
     Forward,
     Part,
--- a/berylspool/platform/upstream/connection.py
+++ b/berylspool/platform/upstream/connection.py
@@ -17,11 +17,10 @@
     decode_response,
 )
 from berylspool.platform.upstream.receive_budget import ReceiveBudget
+from berylspool.platform.upstream.received import Response, to_key
 from berylspool.platform.upstream.response import (
     MAX_RESPONSE_BYTES,
-    Response,
     ResponseReader,
-    to_key,
 )
 from berylspool.process.settings import MemoryLimits
 from berylspool.version.configuration import Upstream
--- a/berylspool/platform/upstream/response.py
+++ b/berylspool/platform/upstream/response.py
@@ -6,35 +6,25 @@
 another.  The reader returns a response only if no such bytes can be part of it.
 """
 
-from collections.abc import Sequence
-from dataclasses import dataclass, field
-
 import httptools
 
 from berylspool.connection.http import has_status_line
 from berylspool.exception import ProtocolError, ResponseTooLargeError
 from berylspool.platform import headers
+from berylspool.platform.upstream.received import (
+    OPTIONAL_WHITESPACE,
+    Response,
+    to_key,
+)
 
 __all__ = [
     "MAX_HEAD_BYTES",
     "MAX_RESPONSE_BYTES",
     "MAX_UNNEEDED_BYTES",
-    "Response",
     "ResponseReader",
-    "to_key",
 ]
 
 
-def to_key(name: str) -> bytes:
-    """Return the name of a header as responses are indexed by it.
-
-    Examples:
-        >>> to_key("Keep-Alive")
-        b'keep-alive'
-    """
-    return name.lower().encode("latin-1")
-
-
 # An upstream in trouble may send bytes without end. The first limit is for
 # heads, and for all bytes that are no body beyond as many as the body has; the
 # others count all bytes since the request was sent.
@@ -47,10 +37,9 @@
 # Interim responses and late copies before the response to a request.
 MAX_MESSAGES = 32
 
-# Around the value of a header, but no part of it (RFC 9112, section 5).
-OPTIONAL_WHITESPACE = b" \t"
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# Takes the place of a response that has been returned, and keeps no bytes.
+NO_RESPONSE = Response(is_kept=False)
 # Copies come within a second or so; a connection carries a few requests in it.
 MAX_KNOWN_IDS = 16
 REQUEST_ID_KEY = to_key(headers.REQUEST_ID)
@@ -66,56 +55,6 @@
 )
 
 
-@dataclass(slots=True)
-class Response:
-    """An HTTP response while it is received.
-
-    Attributes:
-        status: HTTP status; 0 until it is known.
-        echoed_id: Id of the request that it states; empty if it states none.
-        reason_phrase: Text after the status.
-        raw_headers: Headers in the order received, with blanks around values.
-        value_by_name: Last value of each header, by lower-case name; filled
-            once the head is complete.
-        body: The body received so far.
-        is_kept: Whether its body is kept.
-    """
-
-    status: int = 0
-    echoed_id: str = ""
-    reason_phrase: bytes = b""
-    raw_headers: Sequence[tuple[bytes, bytes]] = ()
-    value_by_name: dict[bytes, bytes] = field(default_factory=dict)
-    body: bytearray = field(default_factory=bytearray)
-    is_kept: bool = True
-
-    def get(self, name: str) -> str:
-        """Return the value of a header, or an empty string."""
-        return self.get_by_key(to_key(name))
-
-    def get_by_key(self, key: bytes) -> str:
-        """Return the value of a header by its `to_key`, or an empty string."""
-        value = self.value_by_name.get(key)
-        return value.decode("latin-1") if value else ""
-
-    @property
-    def headers(self) -> list[tuple[bytes, bytes]]:
-        """Headers in the order received, as bytes."""
-        return [
-            (name, value.strip(OPTIONAL_WHITESPACE))
-            for name, value in self.raw_headers
-        ]
-
-    @property
-    def has_length(self) -> bool:
-        """Whether the response itself marks the end of its body."""
-        return (
-            b"content-length" in self.value_by_name
-            or b"transfer-encoding" in self.value_by_name
-            or self.status in STATUSES_WITHOUT_BODY
-        )
-
-
 class ResponseReader:
     """Reads the responses on one connection, which has one request at a time.
 
@@ -218,6 +157,9 @@
         response, self._expected_response = self._expected_response, None
         if response is not None:
             self._expected_id = None
+            # The parser and this reader refer to each other, so a body would
+            # stay in memory until a collection of garbage.
+            self._response = NO_RESPONSE
         else:
             self._check_limits()
         return response
@@ -345,7 +287,7 @@
             self._raise_in_callback("length")
         if not self._has_body:
             # The parser does not know the request and waits for a body.
-            self._complete_response()
+            self.on_message_complete()
             self.is_reusable = False
 
     def _reject_conflicts(self) -> None:
@@ -380,9 +322,6 @@
 
     def on_message_complete(self) -> None:
         """Keep the response if it is the expected one."""
-        self._complete_response()
-
-    def _complete_response(self) -> None:
         response = self._response
         self._is_head_complete = False
         if response.status < FIRST_FINAL_STATUS or self._expected_response:
--- a/berylspool/platform/upstream/tests/test_response.py
+++ b/berylspool/platform/upstream/tests/test_response.py
@@ -1,6 +1,7 @@
 """Responses read from streams that hold other bytes, too."""
 
 import contextlib
+import gc
 import itertools
 
 import pytest
@@ -319,3 +320,12 @@
     with pytest.raises(ResponseTooLargeError):
         reader.feed(start + unit * (256 * 1024 // len(unit)))
     assert reader.calls < 2_000
+
+
+def test_body_that_was_returned_is_not_kept():
+    """Each closed connection kept its last body until garbage was collected."""
+    reader = ResponseReader()
+    reader.expect("r0", MAX_RESPONSE_BYTES)
+    response = reader.feed(make_response("r0", body=bytes(1000)))
+    holders = [o for o in gc.get_referrers(response) if o is not globals()]
+    assert reader not in holders and reader.buffered_bytes < 1000
--- a/berylspool/process/control/platform_integration.py
+++ b/berylspool/process/control/platform_integration.py
@@ -7,6 +7,7 @@
 
 from berylspool.common.event import Event, ListingFailed
 from berylspool.common.mailbox import Mailbox
+from berylspool.common.metric import Metrics
 from berylspool.exception import BerylspoolError
 from berylspool.process.group.node import ConsensusTiming
 from berylspool.version.listing import ListedUpstream
@@ -50,7 +51,8 @@
 
     Attributes:
         make_operator_server: Creates the server for operators from the inbox of
-            the control task; None for the built-in `AdminServer`.
+            the control task and the metrics of the process; None for the
+            built-in `AdminServer`.
         list_reader: Reads the list of upstreams; None if operators declare
             them.
         peer_port: Port of all control nodes, which are then named by their
@@ -60,7 +62,9 @@
         timing: Time limits of the consensus.
     """
 
-    make_operator_server: Callable[[Mailbox[Any]], OperatorServer] | None = None
+    make_operator_server: (
+        Callable[[Mailbox[Any], Metrics], OperatorServer] | None
+    ) = None
     list_reader: UpstreamListReader | None = None
     peer_port: int | None = None
     voter_count: int = 0
--- a/berylspool/process/control/role.py
+++ b/berylspool/process/control/role.py
@@ -188,7 +188,7 @@
             on_session_end=self._handle_session_end,
         )
         self._admin = (
-            platform.make_operator_server(self.inbox)
+            platform.make_operator_server(self.inbox, self.metrics)
             if platform.make_operator_server is not None
             else AdminServer(self.inbox, settings.tokens, self.metrics)
         )
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -5,6 +5,7 @@
 reference to one is served under that plan until it ends.
 """
 
+import math
 from dataclasses import dataclass, field
 
 from berylspool.request.fanout import PinnedMap
@@ -23,6 +24,7 @@
 from berylspool.version.move import Move, traffic_share
 
 __all__ = [
+    "CallerLimits",
     "ForwardPlan",
     "ForwardRoute",
     "ForwardService",
@@ -39,6 +41,27 @@
 DEFAULT_TIMEOUT_S = 60.0
 
 
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """Limits on the requests of each caller.
+
+    The defaults are those in force before limits could be published.
+
+    Attributes:
+        max_head_bytes: Length of a request's head.
+        max_body_bytes: Length of a request's body.
+        head_timeout_s: Time from the first byte of a head to its last, in
+            seconds; infinite for no limit.
+        idle_timeout_s: Time without a byte in which a connection is closed,
+            in seconds; infinite for no limit.
+    """
+
+    max_head_bytes: int = 256 * 1024
+    max_body_bytes: int = 8 * 1024 * 1024
+    head_timeout_s: float = math.inf
+    idle_timeout_s: float = math.inf
+
+
 @dataclass(frozen=True, slots=True)
 class Target:
     """Services that serve a weighted share of a route's requests.
@@ -120,6 +143,7 @@
         number: Number that the operator assigned; 0 before the first plan.
         routes_by_host: Routes of each host, longest prefix first.
         service_by_name: Services that the routes use.
+        caller_limits: Limits on the requests of each caller.
     """
 
     number: int = 0
@@ -127,6 +151,7 @@
         default_factory=dict
     )
     service_by_name: dict[str, ForwardService] = field(default_factory=dict)
+    caller_limits: CallerLimits = CallerLimits()
 
 
 def find_route(plan: ForwardPlan, host: str, path: str) -> ForwardRoute | None:
