A response with an invalid status is none

Cause: 000 and 099 were skipped like interim responses, so the copy waited until its deadline; 600 and 999 reached callers (RFC 9110, section 15). Change: statuses outside 100 to 599, and 101, fail the copy as soon as a reason or a header follows the status; the connection is closed. The same holds for the list of upstreams and other users of connection/http.

--- a/berylspool/connection/http.py
+++ b/berylspool/connection/http.py
@@ -17,6 +17,7 @@
 from berylspool.exception import ConnectionLostError, ProtocolError
 
 __all__ = [
+    "INVALID_STATUSES",
     "HttpConnection",
     "HttpResponse",
     "has_status_line",
@@ -27,6 +28,10 @@
 MAX_HEADER_BYTES = 64 * 1024
 # A body without a length is kept in the stream's buffer up to its end.
 MAX_BUFFER_BYTES = MAX_BODY_BYTES + MAX_HEADER_BYTES
+# Not valid in HTTP (RFC 9110, section 15), and 101, as no request asks for
+# another protocol.
+MAX_STATUS = 599
+INVALID_STATUSES = frozenset({*range(100), 101, *range(600, 1000)})
 STATUS_LINE = re.compile(rb"HTTP/\d\.\d \d{3}")
 
 
@@ -54,13 +59,17 @@
         headers: Response headers.
         chunks: Chunks of the body received so far.
         is_complete: Whether the whole response was received.
+        has_invalid_status: Whether its status is not valid.
+        close: Called once the status turns out to be invalid.
     """
 
+    close: Callable[[], None]
     status: int = 0
     reason_phrase: str = ""
     headers: HTTPHeaders = field(default_factory=HTTPHeaders)
     chunks: list[bytes] = field(default_factory=list)
     is_complete: bool = False
+    has_invalid_status: bool = False
 
     def headers_received(
         self,
@@ -72,6 +81,9 @@
         self.status = start_line.code
         self.reason_phrase = start_line.reason
         self.headers = headers
+        if self.status in INVALID_STATUSES or self.status > MAX_STATUS:
+            self.has_invalid_status = True
+            self.close()
 
     def data_received(self, chunk: bytes) -> None:
         """Store one chunk of the body."""
@@ -84,6 +96,15 @@
     def on_connection_close(self) -> None:
         """Leave the response marked as incomplete."""
 
+    def reject_invalid_status(self) -> None:
+        """Raise an error if the status is not valid.
+
+        Raises:
+            ProtocolError: It is not.
+        """
+        if self.has_invalid_status:
+            raise ProtocolError(f"invalid status {self.status}")
+
     @property
     def body(self) -> bytes:
         """The body received so far."""
@@ -128,22 +149,24 @@
         Raises:
             ConnectionLostError: The connection closed before the response
                 was complete.
-            ProtocolError: The response is not valid HTTP, or may be a mixture
-                with a copy of an earlier one.
+            ProtocolError: The response is not valid HTTP, its status included,
+                or may be a mixture with a copy of an earlier one.
         """
         self.reject_foreign_bytes()
         connection = HTTP1Connection(self.stream, True, self._parameters)
-        response = HttpResponse()
+        response = HttpResponse(self.close)
         start_line = RequestStartLine(method, path, "HTTP/1.1")
         try:
             connection.write_headers(start_line, HTTPHeaders(headers), body)
             connection.finish()
             await connection.read_response(response)
         except StreamClosedError as error:
+            response.reject_invalid_status()
             raise ConnectionLostError("closed during a request") from error
         except ValueError as error:
             self.close()
             raise ProtocolError(f"invalid HTTP response: {error}") from error
+        response.reject_invalid_status()
         # HTTP1Connection removes the close callback after each message.
         self.stream.set_close_callback(self._on_close)
         if not response.is_complete:
--- a/berylspool/connection/tests/test_http.py
+++ b/berylspool/connection/tests/test_http.py
@@ -4,6 +4,8 @@
 import contextlib
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from berylspool.connection.http import (
     MAX_BUFFER_BYTES,
@@ -156,3 +158,60 @@
     asyncio.run(run())
     # What the sockets buffer comes on top.
     assert sent < MAX_BUFFER_BYTES + 16 * 1024 * 1024
+
+
+@given(
+    st.one_of(
+        st.integers(0, 999).map(lambda code: f"{code:03}"),
+        st.sampled_from(["000", "099", "101", "600", "999", "20", "1000"]),
+    ),
+    st.sampled_from(["", "Content-Length: 0\r\n", "Content-Length: 9\r\n"]),
+    st.integers(0, 60),
+)
+@settings(max_examples=60)
+def test_response_with_an_invalid_status_raises_an_error(code, field, cut):
+    """It was returned as a response, or waited for as an interim one."""
+    is_valid = len(code) == 3 and "100" <= code <= "599" and code != "101"
+    is_interim = is_valid and code < "200"
+    data = f"HTTP/1.1 {code} X\r\n{'' if is_interim else field}\r\n".encode()
+    if is_interim:
+        data += WHOLE
+
+    async def run():
+        return await request_from(data)
+
+    async def run_cut():
+        return await request_from(data[: min(cut, len(data) - 1)])
+
+    if not is_valid:
+        # The codec itself gives up on lines that are none.
+        lost = () if len(code) == 3 else (ConnectionLostError,)
+        with pytest.raises((ProtocolError, *lost)):
+            asyncio.run(run())
+        with pytest.raises((ProtocolError, ConnectionLostError)):
+            asyncio.run(run_cut())
+    elif "9" not in field or code in ("204", "304"):
+        with contextlib.suppress(ProtocolError):
+            status = asyncio.run(run()).status
+            assert status == (200 if is_interim else int(code))
+
+
+def test_invalid_status_fails_without_waiting_for_its_body():
+    async def run():
+        response = b"HTTP/1.1 000 X\r\nContent-Length: 9\r\n\r\n"
+
+        async def serve(reader, writer):
+            writer.write(response)
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        connection = await open_http_connection("127.0.0.1", port, 5.0)
+        async with asyncio.timeout(5.0):
+            with pytest.raises(ProtocolError):
+                await connection.send("GET", "/", {"Host": "h"}, b"")
+        assert connection.stream.closed()
+        server.close()
+
+    asyncio.run(run())
--- a/berylspool/platform/upstream/response.py
+++ b/berylspool/platform/upstream/response.py
@@ -8,7 +8,7 @@
 
 import httptools
 
-from berylspool.connection.http import has_status_line
+from berylspool.connection.http import INVALID_STATUSES, has_status_line
 from berylspool.exception import ProtocolError, ResponseTooLargeError
 from berylspool.platform import headers
 from berylspool.platform.upstream.received import (
@@ -161,7 +161,7 @@
             # stay in memory until a collection of garbage.
             self._response = NO_RESPONSE
         else:
-            self._check_limits()
+            self._check_unfinished()
         return response
 
     def end(self) -> Response | None:
@@ -185,7 +185,18 @@
         self.has_foreign_bytes = True
         self.is_reusable = False
 
-    def _check_limits(self) -> None:
+    def _check_unfinished(self) -> None:
+        """Check what has arrived of a response that is not whole.
+
+        Raises:
+            ProtocolError: Its status is not valid, or it is no longer needed.
+            ResponseTooLargeError: It exceeds a limit.
+        """
+        # The parser knows the status once a text or a header follows it.
+        if (self._response.reason_phrase or self._headers) and (
+            self._parser.get_status_code() in INVALID_STATUSES
+        ):
+            raise ProtocolError("invalid status")
         if not self._is_needed and self.received_bytes > self._max_bytes:
             # It may be a sound answer, which another copy has outrun.
             raise ProtocolError("long response that is no longer needed")
@@ -258,21 +269,24 @@
         """Index the head, and refuse a body that states that it is too long.
 
         Raises:
-            ProtocolError: The head may be a mixture of two.
+            ProtocolError: The status is not valid, or the head may be a
+                mixture of two.
             ResponseTooLargeError: The body exceeds its limit.
         """
-        response = self._response
-        response.status = self._parser.get_status_code()
+        response, headers = self._response, self._headers
+        response.status = status = self._parser.get_status_code()
+        if status in INVALID_STATUSES:
+            raise ProtocolError(f"invalid status {status}")
         self._is_head_complete = True
-        response.raw_headers = self._headers
-        self._header_room -= len(self._headers)
+        response.raw_headers = headers
+        self._header_room -= len(headers)
         # Trailers follow; they are only counted.
         self._headers = []
         value_by_name = response.value_by_name = {
             name.lower(): value.strip(OPTIONAL_WHITESPACE)
-            for name, value in response.raw_headers
+            for name, value in headers
         }
-        if len(value_by_name) < len(response.raw_headers):
+        if len(value_by_name) < len(headers):
             self._reject_conflicts()
         if self._has_earlier_response:
             self._reject_mixture()
--- a/berylspool/platform/upstream/tests/test_connection.py
+++ b/berylspool/platform/upstream/tests/test_connection.py
@@ -20,6 +20,7 @@
 from berylspool.platform.upstream.response import (
     MAX_HEAD_BYTES,
     MAX_RESPONSE_BYTES,
+    MAX_UNNEEDED_BYTES,
     ResponseReader,
 )
 from berylspool.process.settings import MemoryLimits
@@ -234,12 +235,14 @@
     """Answers a request with a start and one chunk of bytes repeated.
 
     It stops when the caller closes, or after more bytes than any answer has.
+    With an event, it sends the bytes after the start only once that is set.
     """
 
     LIMIT = 64 * 1024 * 1024
 
-    def __init__(self, start, chunk):
+    def __init__(self, start, chunk, event=None):
         self.start = start
+        self.event = event
         self.chunk = chunk * (65536 // len(chunk))
         self.sent = 0
 
@@ -247,6 +250,8 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(self.start)
+            if self.event is not None:
+                await self.event.wait()
             while self.sent < self.LIMIT:
                 writer.write(self.chunk)
                 self.sent += len(self.chunk)
@@ -323,7 +328,10 @@
 
 
 def test_answer_that_is_no_longer_needed_may_not_be_long():
-    upstream = EndlessUpstream(OK_HEAD + b"\r\n", b"a" * 16)
+    """The rest of an answer that came second would be read to its end."""
+    head = OK_HEAD + b"\r\n"
+    cancelled = asyncio.Event()
+    upstream = EndlessUpstream(head, b"a" * 16, cancelled)
 
     async def scenario(connection, pool):
         connection.inbox.put(SendAttempt(1, 1, make_part(), 60.0))
@@ -331,10 +339,14 @@
             await asyncio.sleep(0.001)
         cancel = CancelAttempt("i-1", "p1", 1, 1)
         PlatformTransport(time.monotonic).cancel(cancel, connection, None)
-        await take_event(pool, ConnectionClosed)
+        cancelled.set()
+        event = await take_event(pool, (AttemptAnswered, ConnectionClosed))
+        # It is no fault of the upstream.
+        assert event == LOST_FIRST
         return connection.reader.received_bytes
 
-    assert run_scenario(upstream, scenario) < MAX_RESPONSE_BYTES / 2
+    received_bytes = run_scenario(upstream, scenario)
+    assert received_bytes <= len(head) + MAX_UNNEEDED_BYTES + READ_BYTES
 
 
 def test_late_response_to_earlier_request_is_ignored():
@@ -721,3 +733,15 @@
     assert answered.reply.rows[0].body == b"sound"
     assert {event.overrun for event in closed} <= {"memory", "body"}
     assert "memory" in {event.overrun for event in closed}
+
+
+@pytest.mark.parametrize("code", ["000", "099", "101", "600", "999"])
+def test_invalid_status_is_no_answer_and_ends_the_copy_at_once(code):
+    """000 was waited for until the deadline, 999 reached the caller."""
+    upstream = ScriptedUpstream(whole_response(status=f"{code} X"))
+
+    async def scenario(connection, pool):
+        connection.inbox.put(SendAttempt(1, 1, make_part(), 60.0))
+        return await take_event(pool, (AttemptAnswered, ConnectionClosed))
+
+    assert run_scenario(upstream, scenario) == LOST_FIRST
--- a/berylspool/platform/upstream/tests/test_response.py
+++ b/berylspool/platform/upstream/tests/test_response.py
@@ -329,3 +329,81 @@
     response = reader.feed(make_response("r0", body=bytes(1000)))
     holders = [o for o in gc.get_referrers(response) if o is not globals()]
     assert reader not in holders and reader.buffered_bytes < 1000
+
+
+VALID_CODES = {f"{code:03}" for code in range(100, 600)} - {"101"}
+STATUS_CODES = st.one_of(
+    st.integers(0, 999).map(lambda code: f"{code:03}"),
+    st.sampled_from(["000", "099", "100", "101", "199", "599", "600", "999"]),
+    st.sampled_from(
+        ["", "0", "20", "1000", "0200", "-01", "+20", "2 0", "2x0"]
+    ),
+)
+STATUS_LINES = st.builds(
+    lambda version, code, reason: (f"HTTP/{version} {code}{reason}", code),
+    st.sampled_from(["1.0", "1.1"]),
+    STATUS_CODES,
+    st.sampled_from(["", " ", " OK", " Internal Server Error", " 200 OK"]),
+)
+
+
+def read_until_failure(pieces):
+    """Return the responses to one request, and whether reading has failed."""
+    reader, responses = ResponseReader(), []
+    reader.expect("r0", MAX_RESPONSE_BYTES)
+    try:
+        for piece in pieces:
+            response = reader.feed(piece)
+            if response is not None:
+                return [response], False
+        if (response := reader.end()) is not None:
+            responses.append(response)
+    except ProtocolError:
+        return responses, True
+    return responses, False
+
+
+@given(
+    STATUS_LINES,
+    st.sampled_from(["length", "chunked", "none"]),
+    st.integers(0, 200),
+    st.booleans(),
+)
+def test_response_with_an_invalid_status_is_none(item, framing, cut, is_whole):
+    """000 counted as interim, and 600 reached callers (RFC 9110, 15).
+
+    The stream is cut at any byte: there it goes on in the next piece, or ends.
+    """
+    line, code = item
+    is_interim = code in VALID_CODES and code < "200"
+    fields = {"length": "Content-Length: 0\r\n", "none": ""}
+    fields["chunked"] = "Transfer-Encoding: chunked\r\n"
+    ends = "0\r\n\r\n" if framing == "chunked" else ""
+    head = f"{line}\r\nX-Request-Id: r0\r\n{fields[framing]}\r\n"
+    if is_interim:
+        head, ends = f"{line}\r\n\r\n", ""
+    data = (head + ends).encode()
+    cut = min(cut, len(data))
+    if not is_whole:
+        responses, _ = read_until_failure([data[:cut]])
+        assert not responses or code in VALID_CODES and not is_interim
+        return
+    pieces = [piece for piece in (data[:cut], data[cut:]) if piece]
+    final = make_response("r0")
+    responses, has_failed = read_until_failure([*pieces, final])
+    if is_interim:
+        # HTTP/1.0 has no interim responses, and nothing follows a response.
+        is_old = line.startswith("HTTP/1.0")
+        assert [r.status for r in responses] == [200] or is_old and has_failed
+    elif code in VALID_CODES:
+        assert [r.status for r in responses] == [int(code)] or has_failed
+    else:
+        assert has_failed and not responses
+
+
+@pytest.mark.parametrize("code", ["000", "099", "101", "600", "999"])
+def test_invalid_status_fails_before_its_head_is_complete(code):
+    """A copy would wait for the rest of the head until its deadline."""
+    start = f"HTTP/1.1 {code} X\r\nServer: s\r\n".encode()
+    for cut in range(len(start)):
+        assert read_until_failure([start[:cut], start[cut:]]) == ([], True)
