--- a/berylspool/platform/callers/connection.py
+++ b/berylspool/platform/callers/connection.py
@@ -130,7 +130,7 @@
         if self._rest:
             self._pause_reading()
         self.stage = Stage.RUNNING
-        self._request_bytes = RUNNING_BYTES + len(request.body)
+        self._request_bytes = RUNNING_BYTES + request.held_bytes
         self.gone = asyncio.Event()
         self._update()
         self._server.handle(self, request)
@@ -217,11 +217,11 @@
         self._clear()
         self.stage = Stage.CLOSING
         self._closes_at = self._server.clock() + LINGER_S
-        if self._transport is not None:
-            if self._transport.can_write_eof():
-                self._transport.write_eof()
+        transport = self._get_open()
+        if transport is not None:
+            transport.write_eof()
             self._resume_reading()
-            self._update()
+        self._update()
 
     def drop(self, reason: str) -> None:
         """Give up the memory that this connection takes.
@@ -255,8 +255,9 @@
         """
         if self._transport is None:
             return
-        if self._is_writing_paused:
-            unread_bytes = self._transport.get_write_buffer_size()
+        transport = self._get_open()
+        if self._is_writing_paused and transport is not None:
+            unread_bytes = transport.get_write_buffer_size()
             if unread_bytes < self._unread_bytes:
                 self.progressed_at = now
             moved_bytes = max(0, self._unread_bytes - unread_bytes)
@@ -325,18 +326,27 @@
             self._update()
 
     def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+        if (transport := self._get_open()) is not None:
+            transport.write(data)
 
     def _pause_reading(self) -> None:
-        if not self._is_reading_paused and self._transport is not None:
+        transport = self._get_open()
+        if not self._is_reading_paused and transport is not None:
             self._is_reading_paused = True
-            self._transport.pause_reading()
+            transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        if self._is_reading_paused and self._transport is not None:
+        transport = self._get_open()
+        if self._is_reading_paused and transport is not None:
             self._is_reading_paused = False
-            self._transport.resume_reading()
+            transport.resume_reading()
+
+    def _get_open(self) -> asyncio.Transport | None:
+        """Return the stream, or None if it is closing, and refuses calls."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return None
+        return transport
 
     def _clear(self) -> None:
         self._reader.clear()
--- a/berylspool/platform/callers/request_reader.py
+++ b/berylspool/platform/callers/request_reader.py
@@ -35,6 +35,7 @@
         body: The whole body.
         keeps_alive: Whether the connection may be used again.
         is_old: Whether it is a request of HTTP/1.0.
+        held_bytes: Memory that its head and body take.
     """
 
     method: str
@@ -43,6 +44,7 @@
     body: bytes
     keeps_alive: bool
     is_old: bool
+    held_bytes: int
 
     def get(self, name: str) -> str:
         """Return the value of a header; several are joined by commas."""
@@ -125,6 +127,7 @@
             bytes(self._body),
             self._keeps_alive,
             parser.get_http_version() == "1.0",
+            self.held_bytes,
         )
         self._reset()
         if self._is_parser_used_up or not request.keeps_alive:
--- a/berylspool/platform/callers/tests/test_server.py
+++ b/berylspool/platform/callers/tests/test_server.py
@@ -1,8 +1,11 @@
 """Connections of clients, over sockets, without a router behind them."""
 
 import asyncio
+import contextlib
+import random
 
 import pytest
+import uvloop
 
 from berylspool.common.metric import Metrics
 from berylspool.common.request_event import ClientsRejected
@@ -83,14 +86,23 @@
         )
         [port] = free_ports(1)
         ingress.listen(f"127.0.0.1:{port}")
+        failures = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: failures.append(context)
+        )
+        server = ingress._server
         try:
             async with asyncio.timeout(TEST_TIMEOUT_S):
-                return await scenario(backend, port, metrics, logged)
+                await scenario(backend, port, metrics, logged)
         finally:
             async with asyncio.timeout(5.0):
                 await ingress.close()
+        await asyncio.sleep(0)
+        assert not failures and not server._open
+        assert server._holdings.byte_count == 0
 
-    return asyncio.run(main())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        return runner.run(main())
 
 
 async def connect(port, data=b""):
@@ -203,9 +215,9 @@
 
 def test_response_with_an_invalid_header_is_a_failure():
     async def scenario(backend, port, metrics, logged):
-        return await ask(port, make_head("/bad"))
+        assert await ask(port, make_head("/bad")) == 502
 
-    assert run(scenario) == 502
+    run(scenario)
 
 
 def test_request_ends_when_its_client_goes():
@@ -377,3 +389,58 @@
         writer.close()
 
     run(scenario)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_clients_of_any_kind_leave_nothing_behind(seed):
+    """A holding that is not released would in time refuse everybody."""
+    chance = random.Random(seed)
+    body = f"Content-Length: {MIB // 8}"
+
+    def pieces():
+        data = b"".join(
+            chance.choice(
+                [
+                    make_head("/a"),
+                    make_head("/wait"),
+                    make_head("/long"),
+                    make_head("/a", body, method="POST") + bytes(MIB // 8),
+                    make_head("/a", "Expect: 100-continue", body),
+                    make_head("/a", "Connection: close"),
+                    make_head("/a", version="1.0"),
+                    b"no request\r\n\r\n",
+                ]
+            )
+            for _ in range(chance.randint(1, 4))
+        )
+        data = data[: len(data) - chance.choice([0, 0, 1, 50])]
+        cut = chance.randint(0, len(data))
+        return data[:cut], data[cut:]
+
+    async def be_client(port):
+        reader, writer = await connect(port)
+        with contextlib.suppress(OSError, TimeoutError):
+            if chance.random() < 0.5:
+                writer.transport.pause_reading()
+            for piece in pieces():
+                if not writer.transport.is_closing():
+                    writer.write(piece)
+                await asyncio.sleep(chance.choice([0, 0.01, 0.3]))
+            if writer.transport.is_reading():
+                async with asyncio.timeout(chance.choice([0.01, 0.3])):
+                    await reader.read()
+        if chance.random() < 0.5:
+            writer.transport.abort()
+        else:
+            writer.close()
+
+    async def scenario(backend, port, metrics, logged):
+        limits = CallerLimits(head_timeout_s=0.2, idle_timeout_s=0.4)
+        caller_limits[0] = limits
+        await asyncio.gather(*(be_client(port) for _ in range(60)))
+        backend.go.set()
+        caller_limits[0] = CallerLimits()
+        assert await ask(port, make_head()) == 200
+
+    caller_limits = [CallerLimits()]
+    run(scenario, HoldingLimits(MIB, 20), caller_limits)
--- a/berylspool/platform/upstream/response.py
+++ b/berylspool/platform/upstream/response.py
@@ -345,7 +345,8 @@
             self._expected_response = response
             if response.body:
                 self._remember(response.echoed_id)
-            self.is_reusable = self.is_reusable and response.has_length
+            if not response.has_length:
+                self.is_reusable = False
         else:
             # A late copy; more of its kind may follow the expected response.
             self._mark_foreign_bytes()
