--- a/berylspool/platform/ingress.py
+++ b/berylspool/platform/ingress.py
@@ -167,7 +167,7 @@
         if gone.is_set():
             connection.end_dropped(has_run)
             return
-        if self._is_closing():
+        if self._is_closing() and request.keeps_alive and not request.is_old:
             response_headers.append(("Connection", "close"))
         try:
             _write(connection, request, response, response_headers)
--- a/berylspool/platform/tests/test_crowds.py
+++ b/berylspool/platform/tests/test_crowds.py
@@ -11,6 +11,8 @@
 
 import pytest
 
+from berylspool.common.frame import Codec
+from berylspool.connection.message import Hello
 from berylspool.platform.tests.own_processes import (
     FRONT_PORT,
     LINK_PORT,
@@ -197,3 +199,15 @@
         send_blocks(client, 8 * MIB)
 
     check_crowd(site, role, LINK_PORT, 12, send)
+
+
+@pytest.mark.parametrize("role", ["entry", "control"])
+def test_link_port_after_hello(site, role):
+    """The same frames behind a `Hello`, which anybody can send."""
+
+    def send(client):
+        client.sendall(Codec([Hello]).encode([Hello("stranger")]))
+        client.sendall(struct.pack(">I", 16 * MIB))
+        send_blocks(client, 8 * MIB)
+
+    check_crowd(site, role, LINK_PORT, 12, send)
