Long frames hold a bounded number of items

Cause: 16 MiB of empty lists from anybody who says Hello became objects of 1.2 GB before the frame was checked. Change: frames over 64 KiB are decoded with a count of their items, at most a million. Result: the test's two frames fail without the change (330 MB for the nested one) and are refused within it; tests of common, connection, group, control and end to end pass.

--- a/berylspool/common/frame.py
+++ b/berylspool/common/frame.py
@@ -22,6 +22,11 @@
 
 HEADER_BYTES = 4
 MAX_FRAME_BYTES = 16 * 1024 * 1024
+# A byte of a frame may become an object of 64 bytes. Bodies up to the first
+# length are small whatever they hold; longer ones are mostly opaque bytes, and
+# hold no more than this number of items.
+MAX_UNCOUNTED_BYTES = 64 * 1024
+MAX_ITEMS = 1_000_000
 LENGTH_PREFIX = struct.Struct(">I")
 PACKED_TAG = "Packed"
 
@@ -99,7 +104,7 @@
     def _decode_items(self, body: bytes, *, may_be_packed: bool) -> list[Any]:
         messages: list[Any] = []
         try:
-            items = msgpack.unpackb(body, strict_map_key=False)
+            items = _unpack(body)
             for tag, fields in items:
                 if tag == PACKED_TAG and may_be_packed:
                     inner_body = _decompress(fields["body"])
@@ -129,6 +134,34 @@
         return adapter
 
 
+def _unpack(body: bytes) -> Any:
+    """Decode msgpack; a long body may not hold very many items.
+
+    Raises:
+        ValueError: It is not msgpack, or holds more than `MAX_ITEMS`.
+        msgpack.UnpackException: It is not msgpack.
+    """
+    if len(body) <= MAX_UNCOUNTED_BYTES:
+        return msgpack.unpackb(body, strict_map_key=False)
+    count = 0
+
+    def count_items(container: Any) -> Any:
+        nonlocal count
+        count += 1 + len(container)
+        if count > MAX_ITEMS:
+            raise ValueError(f"more than {MAX_ITEMS} items")
+        return container
+
+    return msgpack.unpackb(
+        body,
+        strict_map_key=False,
+        list_hook=count_items,
+        object_hook=count_items,
+        max_array_len=MAX_ITEMS,
+        max_map_len=MAX_ITEMS,
+    )
+
+
 def _decompress(data: bytes) -> bytes:
     """Decompress the body of a `Packed`.
 
--- a/berylspool/common/tests/test_frame.py
+++ b/berylspool/common/tests/test_frame.py
@@ -1,6 +1,7 @@
 """Property tests of the frame codec."""
 
 import contextlib
+import tracemalloc
 import zlib
 
 import msgpack
@@ -11,6 +12,7 @@
 from berylspool.common.frame import (
     HEADER_BYTES,
     MAX_FRAME_BYTES,
+    MAX_ITEMS,
     Packed,
     frame_length,
 )
@@ -128,3 +130,29 @@
     nested = CODEC.pack([CODEC.pack([Hello("first")])])
     with pytest.raises(FrameError):
         CODEC.decode(CODEC.encode([nested])[HEADER_BYTES:])
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"\xdd\x00\xff\xff\xff" + b"\x90" * 0xFFFFFF,
+        b"\xdc\x01\x00" + (b"\xdc\xff\xff" + b"\xa2ab" * 0xFFFF) * 0x100,
+    ],
+    ids=["flat", "nested"],
+)
+def test_long_frame_of_tiny_items_is_refused(body):
+    """16 MiB of empty lists took 1.2 GB before the frame was checked."""
+    body = body[: MAX_FRAME_BYTES + HEADER_BYTES]
+    tracemalloc.start()
+    try:
+        with pytest.raises(FrameError):
+            CODEC.decode(body)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 64 * MAX_ITEMS + MAX_FRAME_BYTES
+
+
+def test_long_frame_of_opaque_bytes_is_decoded():
+    message = Hello("n" * (MAX_FRAME_BYTES // 2))
+    assert CODEC.decode(CODEC.encode([message])[HEADER_BYTES:]) == [message]
