--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -36,6 +36,10 @@
     "berylspool_load_view_age_seconds": (
         "Age of the oldest load view of the latest pool that had a queue."
     ),
+    "berylspool_clients_refused_total": "Refusals by the server, by reason.",
+    "berylspool_clients_dropped_total": "Connections dropped, by reason.",
+    "berylspool_client_connections": "Open connections of clients.",
+    "berylspool_client_bytes": "Memory held for clients, in bytes.",
     "berylspool_latency_seconds": "Response time, by route and quantile.",
     "berylspool_busy_seconds": (
         "Processor time during a request, by route and quantile."
--- a/berylspool/common/request_event.py
+++ b/berylspool/common/request_event.py
@@ -5,7 +5,12 @@
 
 from berylspool.common.event import Event
 
-__all__ = ["HelperSuspended", "RequestEnded", "SliceTakenBack"]
+__all__ = [
+    "ClientsRejected",
+    "HelperSuspended",
+    "RequestEnded",
+    "SliceTakenBack",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,3 +79,21 @@
     helper: str
     cause: str
     pause_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClientsRejected(Event):
+    """Clients were refused or dropped for the limits of the server.
+
+    Attributes:
+        refused: Number of refusals since the last such line, by reason.
+        dropped: Number of connections dropped since then, by reason.
+        connections: Open connections.
+        held_bytes: Memory held for clients, in bytes.
+    """
+
+    number: ClassVar[int] = 2050
+    refused: dict[str, int]
+    dropped: dict[str, int]
+    connections: int
+    held_bytes: int
--- a/berylspool/platform/document.py
+++ b/berylspool/platform/document.py
@@ -16,6 +16,7 @@
     make_customer_table,
 )
 from berylspool.version.forwarding import (
+    CallerLimits,
     ForwardPlan,
     ForwardRoute,
     ForwardService,
@@ -119,6 +120,23 @@
     priority: int | None = None
 
 
+class LimitsModel(PlatformModel):
+    """Limits on the requests of each caller; 0 leaves a default in force.
+
+    Attributes:
+        max_header_bytes: Length of a request's head.
+        max_body_bytes: Length of a request's body.
+        header_timeout_ms: Time for a head to arrive, in milliseconds.
+        idle_timeout_ms: Time without a byte after which a connection is
+            closed, in milliseconds.
+    """
+
+    max_header_bytes: int = Field(0, ge=0, le=MAX_NUMBER)
+    max_body_bytes: int = Field(0, ge=0, le=MAX_NUMBER)
+    header_timeout_ms: float = Field(0.0, ge=0, le=MAX_NUMBER)
+    idle_timeout_ms: float = Field(0.0, ge=0, le=MAX_NUMBER)
+
+
 class ConfigurationModel(PlatformModel):
     """A complete configuration.
 
@@ -127,11 +145,13 @@
         routes: All routes.
         services: All services.
         tenants: All customers; None if requests need no API key.
+        limits: Limits on the requests of each caller, as in `LimitsModel`.
     """
 
     version: int = Field(ge=0)
     routes: tuple[RouteModel, ...]
     services: tuple[ServiceModel, ...]
+    limits: Any = None
     tenants: tuple[TenantModel, ...] | None = None
 
     @field_validator("tenants")
@@ -159,7 +179,12 @@
     """
     model = _read_model(text)
     _check_numbers(model)
-    plan = _to_plan(model)
+    try:
+        limits = _to_caller_limits(model)
+    except ValidationError as error:
+        details = error.errors(include_input=False, include_url=False)
+        raise ConfigurationError(f"limits: {details}") from error
+    plan = _to_plan(model, limits)
     return pack_document(plan.number, text), plan
 
 
@@ -210,7 +235,13 @@
     """
     if not document.number:
         return ForwardPlan()
-    return _to_plan(_read_model(unpack_document(document)))
+    model = _read_model(unpack_document(document))
+    try:
+        limits = _to_caller_limits(model)
+    except ValidationError:
+        # An earlier build accepted the plan without reading its limits.
+        limits = CallerLimits()
+    return _to_plan(model, limits)
 
 
 def _read_model(text: bytes) -> ConfigurationModel:
@@ -223,7 +254,7 @@
         raise ConfigurationError(f"invalid JSON: {error}") from None
 
 
-def _to_plan(model: ConfigurationModel) -> ForwardPlan:
+def _to_plan(model: ConfigurationModel, limits: CallerLimits) -> ForwardPlan:
     service_by_name = {
         service.name: ForwardService(
             service.name,
@@ -258,7 +289,28 @@
             for host, routes in routes_by_host.items()
         },
         service_by_name,
-        _to_customers(model.tenants) if model.tenants is not None else None,
+        customers=(
+            _to_customers(model.tenants) if model.tenants is not None else None
+        ),
+        caller_limits=limits,
+    )
+
+
+def _to_caller_limits(configuration: ConfigurationModel) -> CallerLimits:
+    """Return the limits of callers.
+
+    Raises:
+        ValidationError: They cannot be used.
+    """
+    if configuration.limits is None:
+        return CallerLimits()
+    model = LimitsModel.model_validate(configuration.limits)
+    default = CallerLimits()
+    return CallerLimits(
+        model.max_header_bytes or default.max_head_bytes,
+        model.max_body_bytes or default.max_body_bytes,
+        model.header_timeout_ms / MS_PER_S or default.head_timeout_s,
+        model.idle_timeout_ms / MS_PER_S or default.idle_timeout_s,
     )
 
 
--- a/berylspool/platform/tests/test_customer_properties.py
+++ b/berylspool/platform/tests/test_customer_properties.py
@@ -10,8 +10,8 @@
 import orjson
 from hypothesis import event, given
 from hypothesis import strategies as st
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, RequestStartLine
 
+from berylspool.platform.callers.request_reader import RequestReader
 from berylspool.platform.document import decode_plan, read_document
 from berylspool.platform.ingress import _decode_request, encode_outcome
 from berylspool.platform.tests.instant_upstreams import (
@@ -26,6 +26,7 @@
 from berylspool.process.log import LogTask
 from berylspool.process.settings import EntrySettings, Settings
 from berylspool.version.configuration import Configuration
+from berylspool.version.forwarding import CallerLimits
 
 # Turns of the event loop in which everything that can happen has happened.
 SETTLING_TURNS = 60
@@ -246,13 +247,9 @@
         path = "/w/1" if step.is_wide else "/s/1"
         lines = [f"Host: {HOST}", f"X-Request-Id: {len(self.requests)}"]
         lines += [f"{name}: {value}" for name, value in step.headers]
-        # Bytes of a head are read as Latin-1.
-        text = "\r\n".join(lines).encode().decode("latin-1")
-        received = HTTPServerRequest(
-            headers=HTTPHeaders.parse(text),
-            body=b"",
-            start_line=RequestStartLine("GET", path, "HTTP/1.1"),
-        )
+        head = "\r\n".join([f"GET {path} HTTP/1.1", *lines, "", ""])
+        received = RequestReader().feed(head.encode(), CallerLimits())
+        assert received is not None
         self.requests.append(request)
         self.tasks.append(asyncio.ensure_future(self.answer(request, received)))
 
--- a/berylspool/platform/tests/test_customers.py
+++ b/berylspool/platform/tests/test_customers.py
@@ -45,8 +45,8 @@
     return orjson.dumps(data)
 
 
-def publish(forwarder, tenants, version):
-    document = read_document(make_text(tenants, version))[0]
+def publish(forwarder, tenants, version, routes=(ROUTE, PUBLIC_ROUTE)):
+    document = read_document(make_text(tenants, version, routes))[0]
     forwarder.state.set_configuration(Configuration(version, document=document))
 
 
@@ -164,9 +164,11 @@
         return signed_response(head, b"x")
 
     upstream = FakeUpstream("a", respond)
+    # Long enough that no request is refused because of the queue.
+    routes = [{**ROUTE, "timeout-ms": 60_000}]
 
     async def scenario(forwarder, port):
-        publish(forwarder, [acme(HUSH), acme("k2", name="beta")], 4)
+        publish(forwarder, [acme(HUSH), acme("k2", name="beta")], 4, routes)
         callers = [await Caller(port).__aenter__() for _ in range(12)]
         for number, caller in enumerate(callers):
             key = "k2" if number % 4 == 3 else HUSH
@@ -176,7 +178,7 @@
             int(header_value(head, "x-request-id"))
             for head, _ in upstream.requests
         }
-        publish(forwarder, [acme("k2", name="beta")], 5)
+        publish(forwarder, [acme("k2", name="beta")], 5, routes)
         refused = set(range(12)) - sent - {3, 7, 11}
         started_at = time.monotonic()
         statuses = [await callers[n].read_status() for n in sorted(refused)]
@@ -192,9 +194,7 @@
         forwarder._update_gauges()
         return render_exposition(forwarder.metrics)[0].decode()
 
-    # Long enough that no request is refused because of the queue.
-    route = {**ROUTE, "timeout-ms": 60_000}
-    metrics = run_scenario([upstream], [route], scenario)
+    metrics = run_scenario([upstream], routes, scenario)
     assert 'outcome="refused unknown_key"' in metrics
 
 
--- a/berylspool/platform/tests/test_settings.py
+++ b/berylspool/platform/tests/test_settings.py
@@ -6,6 +6,7 @@
 from berylspool.platform.settings import (
     MIN_MEMORY_MB,
     read_settings,
+    to_holding_limits,
     to_memory_limits,
     to_settings,
 )
@@ -93,3 +94,20 @@
     )
     assert duties.reports_usage
     assert duties.timing == DutyTiming(4.0, 8.0, 2.5, 40.0)
+
+
+@pytest.mark.parametrize(
+    ("limits", "expected"),
+    [
+        ({"memory-mb": 200, "max-fds": 4100}, (50_000_000, 1950)),
+        ({"memory-mb": 100, "max-fds": 500}, (25_000_000, 150)),
+        ({"memory-mb": 100, "max-fds": 10}, (25_000_000, 16)),
+        ({}, (64_000_000, 1950)),
+    ],
+)
+def test_clients_get_a_share_of_the_limits(tmp_path, limits, expected):
+    """Without room for upstreams and control, callers would take it all."""
+    path = tmp_path / "settings.json"
+    path.write_bytes(orjson.dumps({**SETTINGS, "limits": limits}))
+    holding = to_holding_limits(read_settings(path))
+    assert (holding.max_bytes, holding.max_connections) == expected
--- a/berylspool/platform/upstream/connection.py
+++ b/berylspool/platform/upstream/connection.py
@@ -17,11 +17,10 @@
     decode_response,
 )
 from berylspool.platform.upstream.receive_budget import ReceiveBudget
+from berylspool.platform.upstream.received import Response, to_key
 from berylspool.platform.upstream.response import (
     MAX_RESPONSE_BYTES,
-    Response,
     ResponseReader,
-    to_key,
 )
 from berylspool.process.settings import MemoryLimits
 from berylspool.version.configuration import Upstream
@@ -159,6 +158,7 @@
         finally:
             self.inbox.set_put_callback(None)
             self._budget.keep(self.inbox, 0)
+            self.reader.clear()
             if self._timeout is not None:
                 self._timeout.cancel()
             if self._protocol.transport is not None:
--- a/berylspool/process/control/platform_integration.py
+++ b/berylspool/process/control/platform_integration.py
@@ -56,7 +56,8 @@
 
     Attributes:
         make_operator_server: Creates the server for operators from the inbox of
-            the control task; None for the built-in `AdminServer`.
+            the control task and the metrics of the process; None for the
+            built-in `AdminServer`.
         list_reader: Reads the list of upstreams; None if operators declare
             them.
         duty_client: Makes the calls of duties; None if there are none.
@@ -67,7 +68,9 @@
         timing: Time limits of the consensus.
     """
 
-    make_operator_server: Callable[[Mailbox[Any]], OperatorServer] | None = None
+    make_operator_server: (
+        Callable[[Mailbox[Any], Metrics], OperatorServer] | None
+    ) = None
     list_reader: UpstreamListReader | None = None
     duty_client: DutyClient | None = None
     peer_port: int | None = None
@@ -101,7 +104,7 @@
         metrics: Metrics of the process.
     """
     if platform.make_operator_server is not None:
-        return platform.make_operator_server(inbox)
+        return platform.make_operator_server(inbox, metrics)
     return AdminServer(inbox, settings.tokens, metrics)
 
 
