A pool without upstreams reports its waits

Cause: the report on parts that waited asked for the oldest load view of a pool whose upstreams had all left. Change: without a view, the age is the largest that is reported.

--- a/berylspool/version/overload/waiting.py
+++ b/berylspool/version/overload/waiting.py
@@ -243,7 +243,11 @@
     waits_by_rank = take_waits(pool.shedding, now)
     if not waits_by_rank:
         return []
-    oldest_at = min(v.load_reported_at for v in pool.view_by_upstream.values())
+    # A pool may have lost its last upstream.
+    oldest_at = min(
+        (view.load_reported_at for view in pool.view_by_upstream.values()),
+        default=float("-inf"),
+    )
     age_ms = round(min(now - oldest_at, MAX_AGE_S) * MS_PER_S)
     return [
         Log(
