--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -381,11 +381,17 @@
             },
         }
 
+    def write_settings(self, name):
+        """Write the settings file of a process; return its path."""
+        path = self.folder / f"{name}.json"
+        text = json.dumps(self.settings_by_name[name])
+        path.write_text(text, encoding="utf-8")
+        return path
+
     def start_process(self, name):
         """Start a process, again if it has ended."""
         settings = self.settings_by_name[name]
-        path = self.folder / f"{name}.json"
-        path.write_text(json.dumps(settings), encoding="utf-8")
+        path = self.write_settings(name)
         if settings["data-dir"]:
             Path(settings["data-dir"]).mkdir(exist_ok=True)
         program, *arguments = self._roles[settings["role"]]["run"].split()
