--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -381,6 +381,15 @@
             },
         }
 
+    def add_control(self, name, host, number, seeds):
+        """Start an empty control node at an address that is new."""
+        settings = self._make_settings(name, host, "control", number)
+        settings["bootstrap"] = False
+        settings["seeds"] = [f"{seed}:{self.operator}" for seed in seeds]
+        self.settings_by_name[name] = settings
+        self.control_hosts.append(host)
+        self.start_process(name)
+
     def write_settings(self, name):
         """Write the settings file of a process; return its path."""
         path = self.folder / f"{name}.json"
