--- a/review/6/play.py
+++ b/review/6/play.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+import os
 import sys
 from pathlib import Path
 
@@ -98,4 +99,4 @@
     )
 
 
-run_case(FOLDER, play)
+run_case(FOLDER, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import itertools
+import os
 import sys
 from pathlib import Path
 
@@ -134,4 +135,4 @@
     )
 
 
-run_case(FOLDER, play)
+run_case(FOLDER, play, os.environ.get("TROUBLE", "1") != "0")
--- a/review/second/deployment.py
+++ b/review/second/deployment.py
@@ -677,16 +677,17 @@
     }
 
 
-def run_case(folder, play):
+def run_case(folder, play, has_trouble):
     """Play a case and exit: 1 broken, 0 held, 2 could not run.
 
     Args:
         folder: Folder of the case, for `record.txt`.
         play: Coroutine function of a record and of whether the disruption is
             played; returns a description of what was broken, or an empty one.
+        has_trouble: Whether the disruption is played.
     """
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(Path(folder) / "record.txt")
+    record.write(f"TROUBLE={int(has_trouble)}")
 
     async def play_in_time():
         task = asyncio.current_task()
