Queries that met another version say truly whether they ran

What callers saw: `not_run` in the product's own interface for a query of which an upstream may have run a part. Change: the pool refuses the part only if no copy may have run, and fails it otherwise; the request counts failed and cancelled parts. Why it works: the pool knows each copy, the request each part.

--- a/berylspool/request/fanout.py
+++ b/berylspool/request/fanout.py
@@ -244,6 +244,7 @@
             state.last_shard = part.shard
         case PartFailed(reason=Reason.WRONG_SNAPSHOT):
             state.attempts += result.attempts
+            state.may_have_run = True
             return _handle_lost_snapshot(state, part, now)
         case PartFailed(reason=reason):
             state.attempts += result.attempts
@@ -254,6 +255,8 @@
             state.missing_by_shard[part.shard] = reason
         case PartRefused(reason=reason):
             state.has_refused_copy = state.has_refused_copy or result.sends > 0
+            if reason is Reason.WRONG_SNAPSHOT:
+                return _handle_lost_snapshot(state, part, now)
             if reason in RESEND_REASONS:
                 return _resend(state, part, reason, now)
             state.retry_after_s = max(state.retry_after_s, result.retry_after_s)
@@ -308,6 +311,8 @@
     cancels: list[FanOutAction] = [
         CancelPart(pending) for pending in state.pending_by_id.values()
     ]
+    # A part that is still at its owner may be running at this moment.
+    state.may_have_run = state.may_have_run or bool(state.pending_by_id)
     state.restarts += 1
     state.pinned = state.newest_map
     state.pending_by_id.clear()
--- a/berylspool/request/tests/test_fanout.py
+++ b/berylspool/request/tests/test_fanout.py
@@ -1,5 +1,8 @@
 """Tests of the fan-out; its coverage is checked against an oracle."""
 
+from dataclasses import replace
+
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -129,6 +132,27 @@
     assert answer.snapshot == V2 and answer.rows == (0, 1, 2)
 
 
+@pytest.mark.parametrize(
+    ("lost", "is_pending", "not_run"),
+    [
+        (PartRefused("", Reason.WRONG_SNAPSHOT, 0.1, 1), False, True),
+        (PartRefused("", Reason.WRONG_SNAPSHOT, 0.1, 1), True, False),
+        (PartFailed("", Reason.WRONG_SNAPSHOT, 2), False, False),
+    ],
+)
+def test_restart_does_not_forget_that_a_part_may_have_run(
+    lost, is_pending, not_run
+):
+    """Guards against "not run" for a query that a restart has cancelled."""
+    state, parts = start_fan_out(1 + is_pending)
+    state.newest_map = PinnedMap(V2, ("s0",))
+    actions = step(state, replace(lost, part_id=parts[0].id), 0.1)
+    [again] = [a.part for a in actions if isinstance(a, SendPart)]
+    refused = PartRefused(again.id, Reason.OVERLOAD, 0.1)
+    outcome = outcome_of(step(state, refused, 0.2))
+    assert outcome.not_run == not_run
+
+
 def test_command_is_not_resent_after_it_may_have_run():
     state, parts = start_fan_out(1, key="k")
     actions = step(state, PartFailed(parts[0].id, Reason.SHUTTING_DOWN, 1), 0.1)
--- a/berylspool/version/pool/attempt.py
+++ b/berylspool/version/pool/attempt.py
@@ -4,7 +4,7 @@
 
 from berylspool.common.event import SilentReplaced
 from berylspool.common.part_event import PartAbandoned, PartChosen
-from berylspool.request.query import PartFailed, PartRows, Reason
+from berylspool.request.query import PartRows, Reason
 from berylspool.version.pool.availability import (
     closed_reason,
     end_unservable,
@@ -241,8 +241,8 @@
     """
     job.last_reason = reason
     if reason is Reason.WRONG_SNAPSHOT:
-        result = PartFailed(job.part.id, reason, job.sends)
-        return finish_job(pool, job, result)
+        # An earlier copy may have run, or may still run.
+        return fail_job(pool, job, reason)
     if job.attempt_by_id or job.queue_items:
         # A copy that waits may be the only one now, and no hedge.
         job.claim = None
