Requests that crash upstreams are held by the evidence of all entries

Cause: an entry convicted a request after three losses of its own and shared convictions only, so that two crashes were free at each entry; upstreams that fell at one moment counted as three pieces of evidence, and nothing tried a conviction again. Change: entries report losses that no reply has explained to the leader, which adds them up and tells all entries what to hold. Losses count one after the other. The leader gives one entry a trial with one copy at once, after one and after ten minutes; a reply releases the request everywhere. A gauge counts held requests. Why it works: what a request may crash depends on the losses in a row, whoever saw them; each trial costs one upstream more, three at most.

--- a/berylspool/common/event.py
+++ b/berylspool/common/event.py
@@ -149,7 +149,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestBlamed(Event):
-    """A request is suspected or convicted of crashing an upstream.
+    """A request is suspected of crashing upstreams, convicted or cleared.
 
     Attributes:
         fingerprint: Fingerprint of the request.
--- a/berylspool/common/metric.py
+++ b/berylspool/common/metric.py
@@ -55,6 +55,7 @@
     "berylspool_commit_index": "Commit index of a control node.",
     "berylspool_disk_full": "Whether the disk refuses writes for lack of room.",
     "berylspool_members": "Entries in the active member table.",
+    "berylspool_held_requests": "Requests held as they may crash upstreams.",
     "berylspool_plan": "Number of the forwarding plan in force.",
     "berylspool_customers": "Customers of the forwarding plan in force.",
     "berylspool_api_keys": "API keys of the customers of that plan.",
--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -12,6 +12,7 @@
 )
 from berylspool.request.ledger import Intend, LedgerReply, Settle
 from berylspool.version.configuration import Configuration
+from berylspool.version.containment.evidence import EvidenceReport, Holds
 from berylspool.version.duty.counting import WindowUsage
 from berylspool.version.listing import ListedUpstream, Listing
 from berylspool.version.upstream.slow_upstreams import (
@@ -97,12 +98,15 @@
         listing_epoch: Epoch of the entry's listing of upstreams.
         listing_serial: Serial of that listing.
         convicted: Fingerprints of requests that the entry no longer sends
-            because they crash upstreams.
+            because they crash upstreams; empty if it reports `evidence`.
         wanted: Copies that pools of the entry ask for.
         accepts_packed: Whether the entry accepts `Packed` messages, and
             judgements on upstreams.
         observed: What the entry has observed of upstreams.
         usage: Counts of requests that the leader has not confirmed.
+        accepts_holds: Whether the entry accepts `holds`.
+        evidence: Evidence on requests that the leader has not confirmed.
+        trials_wanted: Fingerprints of held requests that wait at the entry.
     """
 
     member: Member
@@ -120,6 +124,9 @@
     accepts_packed: bool = False
     observed: tuple[SlownessReport, ...] = ()
     usage: tuple[WindowUsage, ...] = ()
+    accepts_holds: bool = False
+    evidence: tuple[EvidenceReport, ...] = ()
+    trials_wanted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -132,11 +139,16 @@
         revision: Latest committed revision.
         table_epoch: Epoch of the latest member table, active or proposed.
         controls: Names of the voting control nodes.
-        convicted: Fingerprints that any entry has convicted.
+        convicted: Fingerprints of held requests, for entries that do not
+            accept `holds`.
         lent: Copies lent for each that the heartbeat asked for, possibly
             fewer.
         usage_confirmed: Term of the leader, which has stored the `usage` of the
             heartbeat; 0 if it collects none.
+        holds: Requests that the leader holds; it has the `evidence` of the
+            heartbeat.
+        trials: Fingerprints of held requests of which the entry may send one
+            copy.
     """
 
     sent_at: float
@@ -147,6 +159,8 @@
     convicted: tuple[str, ...] = ()
     lent: tuple[ExtraCopies, ...] = ()
     usage_confirmed: int = 0
+    holds: Holds = Holds()
+    trials: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/berylspool/connection/tests/test_builds.py
+++ b/berylspool/connection/tests/test_builds.py
@@ -29,6 +29,7 @@
         "usage",
     ),
     (Grant(0.5, 2.0, 1, 1, usage_confirmed=3), "usage_confirmed"),
+    (Grant(0.5, 2.0, 1, 1, trials=("f",)), "trials"),
 ]
 
 
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -25,6 +25,7 @@
 from berylspool.process.group.state_machine import ControlState
 from berylspool.version import listing as listings
 from berylspool.version.configuration import Configuration
+from berylspool.version.containment.evidence import Holds
 from berylspool.version.listing import ListedUpstream, Listing
 
 __all__ = [
@@ -40,7 +41,6 @@
     "make_grant",
     "members_changed_event",
     "newest_state",
-    "record_convicted",
     "replace_listing",
     "reported_state",
     "table_update",
@@ -58,9 +58,7 @@
 MAX_DELTAS = 500
 MAX_TABLES = 50
 MAX_LISTING_DELTAS = 50
-# Each heartbeat repeats the fingerprints that its entry has convicted, so a
-# fingerprint that has not been repeated for this long is convicted nowhere.
-CONVICTION_EXPIRY_S = 10.0
+NO_HOLDS = Holds()
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,8 +92,6 @@
         codec: Codec of the links to entries.
         packed_by_states: Packed updates by the state that they start from and
             the state that they lead to.
-        convicted_at_by_fingerprint: Time at which an entry last reported the
-            fingerprint as convicted, in monotonic seconds.
     """
 
     deltas: list[DeltaSent] = field(default_factory=list)
@@ -106,7 +102,6 @@
     packed_by_states: dict[tuple[EntryState, EntryState], Packed] = field(
         default_factory=dict
     )
-    convicted_at_by_fingerprint: dict[str, float] = field(default_factory=dict)
 
 
 def add_delta(distribution: DistributionState, delta: DeltaSent) -> None:
@@ -256,18 +251,6 @@
     return TableDelta(epoch, newest.epoch, newest.is_active, joined, left)
 
 
-def record_convicted(
-    distribution: DistributionState, convicted: tuple[str, ...], now: float
-) -> None:
-    """Record an entry's convicted fingerprints, and drop expired ones."""
-    convicted_at = distribution.convicted_at_by_fingerprint
-    convicted_at.update((fingerprint, now) for fingerprint in convicted)
-    for fingerprint in [
-        f for f, at in convicted_at.items() if now - at > CONVICTION_EXPIRY_S
-    ]:
-        del convicted_at[fingerprint]
-
-
 def heartbeat_event(heartbeat: Heartbeat) -> HeartbeatReceived:
     """Return the membership event for a heartbeat."""
     return HeartbeatReceived(
@@ -357,6 +340,8 @@
     voter_names: tuple[str, ...] = (),
     lent: tuple[ExtraCopies, ...] = (),
     usage_confirmed: int = 0,
+    holds: Holds = NO_HOLDS,
+    trials: tuple[str, ...] = (),
 ) -> Grant:
     """Return the grant with which a leader with a quorum answers a heartbeat.
 
@@ -368,6 +353,8 @@
         voter_names: Names of the control nodes that vote.
         lent: Copies lent to the entry.
         usage_confirmed: Term of the leader if it collects usage, else 0.
+        holds: Requests that entries must not send.
+        trials: Trials given to the entry.
     """
     newest = newest_state(distribution, state)
     return Grant(
@@ -376,7 +363,11 @@
         newest.revision,
         newest.table_epoch,
         voter_names,
-        tuple(distribution.convicted_at_by_fingerprint),
+        ()
+        if heartbeat.accepts_holds
+        else tuple(held.fingerprint for held in holds.held),
         lent,
         usage_confirmed,
+        holds if heartbeat.accepts_holds else NO_HOLDS,
+        trials,
     )
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -3,7 +3,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from berylspool.common.event import Event, SlowUpstreamJudged
+from berylspool.common.event import (
+    Event,
+    RequestBlamed,
+    SlowUpstreamJudged,
+)
 from berylspool.connection.control_message import (
     DeltaSent,
     Heartbeat,
@@ -22,14 +26,22 @@
     entry_updates,
     make_grant,
     newest_state,
-    record_convicted,
     replace_listing,
     reported_state,
 )
 from berylspool.process.group.reconfiguration import node_name_from_id
 from berylspool.process.group.replica import Replica
 from berylspool.process.settings import Settings
+from berylspool.version.containment.shared_evidence import (
+    SharedEvidence,
+    add_convicted,
+    add_reports,
+    ask_trials,
+    expire,
+    make_holds,
+)
 from berylspool.version.listing import ListedUpstream
+from berylspool.version.pool.quarantine import Verdict
 from berylspool.version.upstream.slow_upstreams import (
     SlowUpstreams,
     all_judgements,
@@ -50,6 +62,7 @@
     Attributes:
         session: The session.
         heartbeat: Newest heartbeat of the entry.
+        received_at: Time at which it arrived, in monotonic seconds.
         state: State that the entry has, or will have once it has read all
             that was sent on this session.
         sent_at: Time of the newest update, in monotonic seconds.
@@ -59,6 +72,7 @@
 
     session: Session
     heartbeat: Heartbeat
+    received_at: float
     state: EntryState
     sent_at: float = float("-inf")
     awaits_leader: bool = False
@@ -93,13 +107,13 @@
         # State that all entries with a lease have, or have been sent.
         self._pushed_state = EntryState()
         self._slow_upstreams = SlowUpstreams()
+        self._crash_evidence = SharedEvidence()
 
     def answer_heartbeat(
         self, session: Session, heartbeat: Heartbeat, now: float
     ) -> None:
         """Answer a heartbeat; only a leader with a quorum grants a lease."""
         entry = self._record_heartbeat(session, heartbeat, now)
-        record_convicted(self._distribution, heartbeat.convicted, now)
         if not self._replica.has_quorum_contact():
             self._lending = None
             self._slow_upstreams = SlowUpstreams()
@@ -132,12 +146,12 @@
         reported = reported_state(heartbeat)
         entry = self._entry_by_session_id.get(session.id)
         if entry is None:
-            entry = EntrySession(session, heartbeat, reported)
+            entry = EntrySession(session, heartbeat, now, reported)
             self._entry_by_session_id[session.id] = entry
             judged = all_judgements(self._slow_upstreams, now)
             if judged and heartbeat.accepts_packed:
                 session.inbox.put(UpstreamsJudged(tuple(judged)))
-        entry.heartbeat = heartbeat
+        entry.heartbeat, entry.received_at = heartbeat, now
         # The heartbeat may have been sent before an update arrived that is on
         # its way; what is sent on a session arrives in order.
         if now - entry.sent_at >= RESEND_AFTER_S:
@@ -153,6 +167,7 @@
             self._lending = CopyLending(self._routing, now)
         newest = newest_state(self._distribution, self._replica.state)
         self._send_updates(entry, newest, now)
+        self._add_evidence(entry, term, now)
         voters = self._replica.node.group.voters
         grant = make_grant(
             self._distribution,
@@ -162,9 +177,33 @@
             tuple(node_name_from_id(id) for id in voters),
             lend_copies(self._lending, entry.heartbeat.wanted, now),
             self._collect_usage(entry.heartbeat),
+            make_holds(self._crash_evidence, now),
+            ask_trials(
+                self._crash_evidence,
+                entry.heartbeat.member.name,
+                entry.heartbeat.trials_wanted,
+                now,
+            ),
         )
         entry.session.inbox.put(grant)
 
+    def _add_evidence(self, entry: EntrySession, term: int, now: float) -> None:
+        """Add what an entry reports of requests that may crash upstreams."""
+        if self._crash_evidence.term != term:
+            self._crash_evidence = SharedEvidence(term)
+        evidence, heartbeat = self._crash_evidence, entry.heartbeat
+        expire(evidence, now)
+        if not (heartbeat.evidence or heartbeat.convicted):
+            return
+        held_before = set(evidence.held)
+        offset_s = entry.received_at - heartbeat.sent_at
+        add_reports(evidence, heartbeat.evidence, offset_s)
+        add_convicted(evidence, heartbeat.convicted, now)
+        for fingerprint in held_before ^ evidence.held.keys():
+            is_held = fingerprint in evidence.held
+            verdict = Verdict.CONVICTED if is_held else Verdict.CLEARED
+            self._log(RequestBlamed(fingerprint, "", verdict))
+
     def _send_updates(
         self, entry: EntrySession, newest: EntryState, now: float
     ) -> None:
--- a/berylspool/process/control/tests/test_entry_sessions.py
+++ b/berylspool/process/control/tests/test_entry_sessions.py
@@ -35,6 +35,7 @@
 from berylspool.process.group.state_machine import ControlState
 from berylspool.process.settings import Settings
 from berylspool.version.configuration import Configuration, Document, Upstream
+from berylspool.version.containment.evidence import EvidenceReport, LostCopy
 from berylspool.version.listing import ListedUpstream
 from berylspool.version.upstream.slow_upstreams import SlownessReport
 
@@ -269,3 +270,53 @@
         assert judged == ["i-1"]
     # An entry of an older build would close its link.
     assert UpstreamsJudged not in kinds(listeners[3].inbox)
+
+
+def beat(sessions, session, name, now, *losses, **changes):
+    """Report that upstreams were lost under "f"; return the grant."""
+    reports = (EvidenceReport("f", losses),) if losses else ()
+    fields = {"accepts_holds": True, "evidence": reports, **changes}
+    heartbeat = dataclasses.replace(
+        make_heartbeat(), member=Member(name, "127.0.0.1", 1), **fields
+    )
+    sessions.answer_heartbeat(session, heartbeat, now)
+    [grant] = [m for m in session.received() if isinstance(m, Grant)]
+    return grant
+
+
+def test_losses_of_several_entries_hold_a_request_at_all(replica, sessions):
+    """Guards against a request that crashes two upstreams at each entry."""
+    a, b, c = (FakeSession(str(number)) for number in range(3))
+    grant = beat(sessions, a, "a", 10.0, LostCopy("u0", -1.0, -0.9))
+    assert not grant.holds.held and grant.holds.term == 1
+    beat(sessions, a, "a", 10.1, LostCopy("u1", -0.8, -0.7))
+    grant = beat(sessions, b, "b", 13.0, LostCopy("u2", -0.2, -0.1))
+    assert [held.fingerprint for held in grant.holds.held] == ["f"]
+    assert beat(sessions, c, "c", 13.1).holds.held
+    # Builds without trials get the fingerprint alone.
+    former = beat(sessions, a, "a", 13.2, accepts_holds=False)
+    assert former.convicted == ("f",) and not former.holds.held
+
+
+def test_trial_goes_to_one_entry_and_its_answer_releases_all(sessions):
+    a, b = FakeSession("1"), FakeSession("2")
+    for number in range(3):
+        loss = LostCopy(f"u{number}", number - 0.5, number)
+        beat(sessions, a, "a", 10.0, loss)
+    wanted = {"trials_wanted": ("f",)}
+    assert beat(sessions, b, "b", 14.0, **wanted).trials == ("f",)
+    assert not beat(sessions, a, "a", 14.1, **wanted).trials
+    reply = (EvidenceReport("f", replied_at=0.0, answered_at=0.0),)
+    assert not beat(sessions, b, "b", 14.2, evidence=reply).holds.held
+    assert not beat(sessions, a, "a", 14.3).holds.held
+
+
+def test_new_leader_learns_of_holds_from_any_entry(replica, sessions):
+    a, b = FakeSession("1"), FakeSession("2")
+    replica.node.term = 2
+    held = (EvidenceReport("f", held_lost_at=-5.0, failed_trials=2),)
+    [hold] = beat(sessions, a, "a", 10.0, evidence=held).holds.held
+    assert hold.failed_trials == 2 and hold.trial_in_s == 595.0
+    assert beat(sessions, b, "b", 10.1).holds.held
+    replica.node.term = 3
+    assert not beat(sessions, b, "b", 10.2).holds.held
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -5,11 +5,9 @@
 from typing import Any
 
 from berylspool.common.event import (
-    ConfigurationApplied,
     Event,
     LeaseChanged,
     LinkChanged,
-    ListingApplied,
 )
 from berylspool.common.mailbox import Mailbox
 from berylspool.connection.control_message import (
@@ -27,26 +25,27 @@
     UpstreamsJudged,
 )
 from berylspool.connection.message import Member, MemberTable
-from berylspool.process.control.membership import apply_table_difference
 from berylspool.process.control_links import make_control_links
 from berylspool.process.entry.control_client_message import (
     ControlLinkOpened,
     ControlMessage,
+    EvidenceChanged,
     Leave,
     Observations,
     PendingLedgerRequest,
     TableDrained,
+    TrialWanted,
     without_copies,
 )
+from berylspool.process.entry.forwarding.containment import Containment
 from berylspool.process.entry.ledger_requests import LedgerRequests
+from berylspool.process.entry.received_state import ReceivedState
 from berylspool.process.entry.usage.usage_counter import UsageCounter
 from berylspool.process.settings import Settings
 from berylspool.request.ledger import LedgerReply, LedgerRequest
 from berylspool.version.configuration import Configuration
 from berylspool.version.duty.counting import WindowUsage
-from berylspool.version.listing import Listing, apply_difference
-from berylspool.version.operation import operation_codec
-from berylspool.version.revision import apply_operations
+from berylspool.version.listing import Listing
 from berylspool.version.upstream.slow_upstreams import (
     SlownessJudgement,
     SlownessObserved,
@@ -78,12 +77,11 @@
         on_table: Called with each newer member table.
         take_tallies: Returns the reply statistics since the last call.
         on_listing: Called with each newer listing of upstreams.
-        get_convicted: Returns the fingerprints of requests that this entry no
-            longer sends.
-        on_convicted: Called with the fingerprints that any entry has convicted.
         on_lent: Called with the copies that control has lent.
         on_judged: Called with judgements on upstreams.
         usage: Counts requests of customers; None if this role does not.
+        containment: Holds requests that may crash upstreams; None if this role
+            does not.
         control_port: Port of control nodes that are named by their address;
             None if the settings name all of them.
 
@@ -105,13 +103,12 @@
         on_table: Callable[[MemberTable], None],
         take_tallies: Callable[[], tuple[Tally, ...]],
         on_listing: Callable[[Listing], None] = lambda listing: None,
-        get_convicted: Callable[[], tuple[str, ...]] = lambda: (),
-        on_convicted: Callable[[tuple[str, ...]], None] = lambda _: None,
         on_lent: Callable[[tuple[ExtraCopies, ...]], None] = lambda lent: None,
         on_judged: Callable[[tuple[SlownessJudgement, ...]], None] = lambda _: (
             None
         ),
         usage: UsageCounter | None = None,
+        containment: Containment | None = None,
         control_port: int | None = None,
     ) -> None:
         self.inbox: Mailbox[Any] = Mailbox()
@@ -120,24 +117,22 @@
         self._settings = settings
         self._clock = clock
         self._log = log
-        self._on_configuration = on_configuration
         self._on_lease = on_lease
-        self._on_table = on_table
         self._take_tallies = take_tallies
-        self._on_listing = on_listing
-        self._get_convicted = get_convicted
-        self._on_convicted = on_convicted
         self._on_lent = on_lent
         self._on_judged = on_judged
         self._usage = usage
+        self._containment = containment
         self._observations = Observations()
         self._wanted_by_pool: dict[tuple[str, str], ExtraCopies] = {}
-        self._listing = Listing()
+        self._received = ReceivedState(
+            log=log,
+            on_configuration=on_configuration,
+            on_table=on_table,
+            on_listing=on_listing,
+        )
         self._granted_at = float("-inf")
         self._has_addressed_nodes = control_port is not None
-        self._operation_codec = operation_codec()
-        self._configuration = Configuration()
-        self._table = MemberTable()
         self._drained_epoch = 0
         self._is_leaving = False
         # Whether a heartbeat is due after all messages that came together.
@@ -162,11 +157,13 @@
         next_heartbeat_at = self._clock()
         try:
             while True:
-                wait_s = max(0.0, next_heartbeat_at - self._clock())
+                due_at = min(next_heartbeat_at, self._next_report_at())
+                wait_s = max(0.0, due_at - self._clock())
                 for message in await self.inbox.take(wait_s):
                     self._handle(message)
                 self._ask_for_copies()
-                if self._has_news or self._clock() >= next_heartbeat_at:
+                due_at = min(next_heartbeat_at, self._next_report_at())
+                if self._has_news or self._clock() >= due_at:
                     is_leader_known = self._knows_leader()
                     wait_s = (
                         HEARTBEAT_INTERVAL_S
@@ -186,24 +183,31 @@
     def _knows_leader(self) -> bool:
         return self._clock() - self._granted_at < LEADER_TIMEOUT_S
 
+    def _next_report_at(self) -> float:
+        containment = self._containment
+        return containment.next_report_at() if containment else float("inf")
+
     def _build_heartbeat(self) -> Heartbeat:
-        now = self._clock()
+        now, containment = self._clock(), self._containment
         return Heartbeat(
             self._member,
             self._boot_id,
-            self._configuration.revision,
+            self._received.configuration.revision,
             self._drained_epoch,
             self._is_leaving,
-            self._table.epoch,
+            self._received.table.epoch,
             now,
             self._take_tallies(),
-            self._listing.epoch,
-            self._listing.serial,
-            self._get_convicted(),
+            self._received.listing.epoch,
+            self._received.listing.serial,
+            (),
             tuple(self._wanted_by_pool.values()),
             accepts_packed=True,
             observed=self._observations.take(now),
             usage=self._take_usage(now),
+            accepts_holds=containment is not None,
+            evidence=containment.take_report(now) if containment else (),
+            trials_wanted=containment.wanted_trials() if containment else (),
         )
 
     def _take_usage(self, now: float) -> tuple[WindowUsage, ...]:
@@ -236,7 +240,7 @@
         is_held = self._clock() < self._lease_until
         if is_held != self._is_lease_held:
             self._is_lease_held = is_held
-            revision = self._configuration.revision
+            revision = self._received.configuration.revision
             self._log(LeaseChanged(is_held, revision))
 
     def _handle(self, message: Any) -> None:
@@ -251,6 +255,11 @@
                 self._wanted_by_pool[pool] = replace(message, copies=copies)
             case SlownessObserved():
                 self._observations.add(message)
+            case EvidenceChanged():
+                # Waking up is enough.
+                pass
+            case TrialWanted():
+                self._has_news = True
             case Leave():
                 self._is_leaving = True
                 self._has_news = True
@@ -270,39 +279,17 @@
                 self._apply_grant(node, message)
             case NotLeader(leader=leader):
                 self._follow_redirect(node, leader)
-            case TableSent(table=table):
-                self._apply_table(table)
-            case TableDelta(base_epoch=base) if base == self._table.epoch:
-                self._apply_table(
-                    apply_table_difference(
-                        self._table,
-                        message.epoch,
-                        message.is_active,
-                        message.joined,
-                        message.left,
-                    )
-                )
             case UpstreamsJudged(judged=judged):
                 self._on_judged(judged)
-            case ConfigurationSent(configuration=configuration):
-                self._apply_configuration(configuration)
-            case DeltaSent():
-                self._apply_delta(message)
-            case ListingSent(listing=listing):
-                self._apply_listing(listing)
-            case ListingDelta(epoch=epoch, serial=serial) if (
-                epoch,
-                serial - 1,
-            ) == (self._listing.epoch, self._listing.serial):
-                self._apply_listing(
-                    apply_difference(
-                        self._listing,
-                        epoch,
-                        serial,
-                        message.changed,
-                        message.gone,
-                    )
-                )
+            case (
+                ConfigurationSent()
+                | DeltaSent()
+                | TableSent()
+                | TableDelta()
+                | ListingSent()
+                | ListingDelta()
+            ):
+                self._has_news |= self._received.apply(message)
             case LedgerReply():
                 self._ledger_requests.deliver(message)
 
@@ -330,13 +317,13 @@
             )
         is_fresh = self._granted_at - grant.sent_at <= LOAN_EXPIRY_S
         self._on_lent(grant.lent if is_fresh else without_copies(grant.lent))
-        if grant.convicted:
-            self._on_convicted(grant.convicted)
+        if self._containment is not None:
+            self._has_news |= self._containment.receive(grant)
         if grant.controls and self._has_addressed_nodes:
             self._links.set_peers({*grant.controls, *self._settings.controls})
         is_behind = (
-            self._configuration.revision < grant.revision
-            or self._table.epoch < grant.table_epoch
+            self._received.configuration.revision < grant.revision
+            or self._received.table.epoch < grant.table_epoch
         )
         if is_behind:
             return
@@ -350,44 +337,6 @@
         self._settings = settings
         self._links.set_peers({*self._links.link_by_name, *settings.controls})
 
-    def _apply_listing(self, listing: Listing) -> None:
-        current = (self._listing.epoch, self._listing.serial)
-        if (listing.epoch, listing.serial) <= current:
-            return
-        self._listing = listing
-        self._log(
-            ListingApplied(
-                listing.epoch, listing.serial, len(listing.listed_by_id)
-            )
-        )
-        self._on_listing(listing)
-
-    def _apply_table(self, table: MemberTable) -> None:
-        if table.epoch > self._table.epoch:
-            self._table = table
-            self._on_table(table)
-
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        if configuration.revision <= self._configuration.revision:
-            return
-        self._configuration = configuration
-        self._on_configuration(configuration)
-        self._log(ConfigurationApplied(configuration.revision))
-        self._has_news = True
-
-    def _apply_delta(self, delta: DeltaSent) -> None:
-        """Apply a change that is based on the revision in force.
-
-        Any other change is ignored: the next heartbeat states the revision, and
-        the leader sends the missing changes.
-        """
-        if delta.base_revision != self._configuration.revision:
-            return
-        operations = tuple(self._operation_codec.decode(delta.operations))
-        self._apply_configuration(
-            apply_operations(self._configuration, operations, delta.at)
-        )
-
     def _send_ledger_request(self, pending: PendingLedgerRequest) -> None:
         """Send a request to the leader, or to all nodes if it is not known."""
         pending.sent_at = self._clock()
--- a/berylspool/process/entry/control_client_message.py
+++ b/berylspool/process/entry/control_client_message.py
@@ -14,10 +14,12 @@
 __all__ = [
     "ControlLinkOpened",
     "ControlMessage",
+    "EvidenceChanged",
     "Leave",
     "Observations",
     "PendingLedgerRequest",
     "TableDrained",
+    "TrialWanted",
     "without_copies",
 ]
 
@@ -38,6 +40,16 @@
     """The entry shuts down and hands over its services to other entries."""
 
 
+@dataclass(frozen=True, slots=True)
+class EvidenceChanged:
+    """The time of the next report on requests may have changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class TrialWanted:
+    """A request that is held waits for the leader's decision."""
+
+
 @dataclass(frozen=True, slots=True)
 class ControlMessage:
     """A message from the control node named `node`."""
--- a/berylspool/process/entry/forwarding/forwarder.py
+++ b/berylspool/process/entry/forwarding/forwarder.py
@@ -15,7 +15,6 @@
     Event,
     ProcessStarted,
     ProcessStopped,
-    RequestBlamed,
 )
 from berylspool.common.metric import Metrics, set_gauges
 from berylspool.common.part_event import PartAbandoned, PartChosen
@@ -29,13 +28,13 @@
 )
 from berylspool.process.entry.delegation.delegation import make_delegation
 from berylspool.process.entry.delegation.division import members_by_zone
+from berylspool.process.entry.forwarding.containment import Containment
 from berylspool.process.entry.forwarding.forwarding_state import (
     ForwardingState,
 )
 from berylspool.process.entry.forwarding.request_accounting import (
     count_event,
     count_reply,
-    update_containment,
 )
 from berylspool.process.entry.forwarding.request_handler import RequestHandler
 from berylspool.process.entry.reply_statistics import (
@@ -47,7 +46,6 @@
 from berylspool.process.entry.router import Router
 from berylspool.process.entry.routing import RoutingState
 from berylspool.process.entry.routing_message import (
-    BlameReceived,
     ConfigurationChanged,
     EntryClosing,
     LeaseGranted,
@@ -62,21 +60,13 @@
 from berylspool.process.settings import Settings, split_address
 from berylspool.release import VERSION
 from berylspool.version.configuration import Configuration, Document
-from berylspool.version.containment import (
-    CrashEvidence,
-    add_convictions,
-    convict,
-    expire,
-)
 from berylspool.version.customer.table import count_api_keys, count_customers
 from berylspool.version.forwarding import ForwardPlan
 from berylspool.version.listing import Listing
 from berylspool.version.pool.message import (
-    Blame,
     ObservedReply,
     RowsReply,
 )
-from berylspool.version.pool.quarantine import Verdict
 from berylspool.version.pool.transport import Transport
 
 __all__ = ["Forwarder"]
@@ -150,7 +140,6 @@
         )
         self._clock = clock
         self._tasks: list[asyncio.Task[None]] = []
-        self._evidence = CrashEvidence()
         self.usage = UsageCounter(
             settings.duties,
             clock=clock,
@@ -177,10 +166,16 @@
             log=self.log.put,
             metrics=self.metrics,
         )
+        self.containment = Containment(
+            clock=clock,
+            log=self.log.put,
+            control=lambda: self.control.inbox,
+            router=self.router.inbox,
+        )
         self.handler = RequestHandler(
             self.state,
             self.router.inbox,
-            self._evidence,
+            self.containment,
             self.usage,
             clock=clock,
             metrics=self.metrics,
@@ -199,11 +194,10 @@
             on_table=self._apply_table,
             take_tallies=lambda: take_tallies(self.statistics),
             on_listing=self._apply_listing,
-            get_convicted=lambda: tuple(self._evidence.convicted_at),
-            on_convicted=self._adopt_convictions,
             on_lent=self.router.receive_loans,
             on_judged=self.router.receive_judgements,
             usage=self.usage,
+            containment=self.containment,
             control_port=control_port,
         )
 
@@ -241,12 +235,14 @@
     def _handle_reply(self, observed_reply: ObservedReply) -> None:
         if self.statistics.move_by_route:
             record_reply(self.statistics, observed_reply)
-        evidence = self._evidence
+        evidence = self.containment.evidence
         # An answer changes nothing unless upstreams were lost.
-        if evidence.lost_by_fingerprint or (
-            type(observed_reply.reply) is not RowsReply
+        if (
+            evidence.record_by_fingerprint
+            or evidence.watched
+            or type(observed_reply.reply) is not RowsReply
         ):
-            update_containment(evidence, observed_reply, self._clock())
+            self.containment.observe(observed_reply)
         count_reply(self.metrics, observed_reply)
         if self.usage.awaited_reply_by_request:
             self.usage.note_reply(observed_reply)
@@ -262,19 +258,6 @@
                 self.usage.note_abandoned(event)
         self.log.put(event)
 
-    def _adopt_convictions(self, fingerprints: tuple[str, ...]) -> None:
-        now = self._clock()
-        self._block_convicted(
-            add_convictions(self._evidence, fingerprints, now)
-        )
-
-    def _block_convicted(self, fingerprints: list[str]) -> None:
-        """Stop sending requests that crash every upstream that runs them."""
-        for fingerprint in fingerprints:
-            blame = Blame(fingerprint, "", Verdict.CONVICTED)
-            self.router.inbox.put(BlameReceived(blame))
-            self.log.put(RequestBlamed(fingerprint, "", Verdict.CONVICTED))
-
     def _update_gauges(self) -> None:
         """Update the gauges for scrapes of the metrics."""
         state, plan = self.state, self.state.view.value.plan
@@ -291,13 +274,13 @@
             "berylspool_grant_age_seconds": self.control.grant_age_s(),
             "berylspool_log_lines_dropped": self.log.dropped,
             "berylspool_timer_lag_seconds": self.handler.timer_lag.mean_s,
+            "berylspool_held_requests": self.containment.held_count,
         }
         set_gauges(self.metrics, value_by_gauge)
 
     async def _run_maintenance(self) -> None:
         while True:
-            self._block_convicted(convict(self._evidence, self._clock()))
-            expire(self._evidence, self._clock())
+            self.containment.maintain()
             self._update_gauges()
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
 
--- a/berylspool/process/entry/forwarding/request_accounting.py
+++ b/berylspool/process/entry/forwarding/request_accounting.py
@@ -22,19 +22,9 @@
 from berylspool.common.part_event import PartChosen, PartShed, PartsWaited
 from berylspool.common.request_event import RequestEnded
 from berylspool.request.fanout import PinnedMap
-from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
-from berylspool.version.containment import (
-    CrashEvidence,
-    record_answer,
-    record_loss,
-)
+from berylspool.request.query import Answer, Outcome, Query, Refusal
 from berylspool.version.forwarding import ForwardRoute
-from berylspool.version.pool.message import (
-    ErrorReply,
-    ObservedReply,
-    OutrunReply,
-    RowsReply,
-)
+from berylspool.version.pool.message import ObservedReply, OutrunReply
 
 __all__ = [
     "Stopwatch",
@@ -42,7 +32,6 @@
     "count_reply",
     "record_outcome",
     "record_refusal",
-    "update_containment",
 ]
 
 NO_ROUTE_LABEL = "none"
@@ -125,30 +114,6 @@
     )
 
 
-def update_containment(
-    evidence: CrashEvidence, observed_reply: ObservedReply, now: float
-) -> None:
-    """Record a lost connection or an answer for the request's fingerprint.
-
-    A request under which several upstreams were lost, and which none answered,
-    is assumed to crash upstreams and is no longer sent.
-
-    Args:
-        evidence: Evidence for and against requests, changed in place.
-        observed_reply: Reply of an upstream, or a copy cancelled without one.
-        now: Monotonic time in seconds.
-    """
-    fingerprint = observed_reply.part.fingerprint
-    match observed_reply.reply:
-        case RowsReply():
-            record_answer(evidence, fingerprint, now)
-        case ErrorReply(reason=Reason.CONNECTION_LOST):
-            upstream = observed_reply.upstream_id
-            record_loss(evidence, fingerprint, upstream, now)
-        case ErrorReply():
-            record_answer(evidence, fingerprint, now)
-
-
 def record_refusal(
     metrics: Metrics,
     log: Callable[[Event], None],
--- a/berylspool/process/entry/forwarding/request_handler.py
+++ b/berylspool/process/entry/forwarding/request_handler.py
@@ -9,8 +9,13 @@
 from berylspool.common.mailbox import Mailbox
 from berylspool.common.metric import Metrics
 from berylspool.process.entry.delegation.delegation import Delegation
+from berylspool.process.entry.forwarding.containment import (
+    Containment,
+    Held,
+)
 from berylspool.process.entry.forwarding.forwarding_state import (
     ForwardingState,
+    ForwardView,
     plan_wait_s,
     retry_without_plan_s,
 )
@@ -31,22 +36,19 @@
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.fingerprint import hash64
 from berylspool.request.forward_request import ForwardRequest
-from berylspool.request.query import Outcome, Query, Reason, Refusal
+from berylspool.request.query import Answer, Outcome, Query, Reason, Refusal
 from berylspool.request.request_task import RequestTask
-from berylspool.version.containment import CrashEvidence, is_convicted
 from berylspool.version.customer.identity import Unidentified, identify
 from berylspool.version.forwarding import (
     choose_target,
     find_route,
     new_query,
     pin_target,
+    with_one_copy,
 )
 
 __all__ = ["RequestHandler"]
 
-# Retry-after; long, as a request that crashes upstreams does so on each retry.
-QUARANTINE_S = 60.0
-
 
 class RequestHandler:
     """Answers the requests of callers.
@@ -54,7 +56,7 @@
     Args:
         state: Plan, moves and listing in force.
         router: Inbox of the entry's router.
-        evidence: Evidence for and against requests that lost upstreams.
+        containment: Holds requests that may crash upstreams.
         usage: Counts the requests of customers.
         clock: Returns the monotonic time in seconds.
         metrics: Metrics of the process.
@@ -71,7 +73,7 @@
         self,
         state: ForwardingState,
         router: Mailbox[RouterMessage],
-        evidence: CrashEvidence,
+        containment: Containment,
         usage: UsageCounter,
         *,
         clock: Callable[[], float],
@@ -85,7 +87,7 @@
         self.key_revocation = KeyRevocation()
         self._state = state
         self._router: Mailbox[Any] = router
-        self._evidence = evidence
+        self._containment = containment
         self._usage = usage
         self._clock = clock
         self._metrics = metrics
@@ -136,10 +138,6 @@
             arrived_at,
             identity,
         )
-        if is_convicted(self._evidence, query.fingerprint):
-            return self._record_refusal(
-                Refusal(request.id, Reason.QUARANTINED, True, QUARANTINE_S)
-            )
         if not self.running.may_end_in_time(query, route.target_latency_s):
             return self._record_refusal(
                 Refusal(request.id, Reason.SHUTTING_DOWN, True, 0.0)
@@ -151,9 +149,20 @@
             router = self._delegation.choose_inbox(
                 route, len(pinned.services), len(request.body), router
             )
+        is_trial = self._containment.holds(query.fingerprint)
+        if is_trial:
+            # Upstreams get one copy, from this entry.
+            query, router = with_one_copy(query), self._router
+            retry_s = await self._ask_for_trial(query.fingerprint, view)
+            if retry_s is not None:
+                return self._record_refusal(
+                    Refusal(request.id, Reason.QUARANTINED, True, retry_s)
+                )
         task = RequestTask(query, router, self._clock)
         with self.key_revocation.track(task, request, route):
-            outcome = await self._run_request(query, task, pinned, caller_gone)
+            outcome = await self._run_request(
+                query, task, pinned, caller_gone, is_trial
+            )
         record_outcome(
             self._metrics,
             self._log,
@@ -166,6 +175,27 @@
         )
         return outcome
 
+    async def _ask_for_trial(
+        self, fingerprint: str, view: ForwardView
+    ) -> float | None:
+        """Return None if a held request may be tried now.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            view: Plan that the request is pinned to.
+
+        Returns:
+            Otherwise the time after which its caller may return, in seconds.
+        """
+        match await self._containment.admit(fingerprint):
+            case Held(retry_after_s=retry_s):
+                return retry_s
+            case _ if self._state.view.value is view:
+                return None
+        # The newer plan may not allow the request.
+        self._containment.end_trial(fingerprint, is_unsent=True)
+        return 0.0
+
     def _find_refusal(
         self, request: ForwardRequest, caller_gone: asyncio.Event
     ) -> Refusal | None:
@@ -189,6 +219,7 @@
         task: RequestTask,
         pinned: PinnedMap,
         caller_gone: asyncio.Event,
+        is_trial: bool,
     ) -> Outcome:
         watcher = asyncio.ensure_future(_watch_caller(caller_gone, task))
         outcome: Outcome | None = None
@@ -200,6 +231,13 @@
         finally:
             watcher.cancel()
             self._usage.end(query, outcome)
+            if is_trial:
+                is_unsent = isinstance(outcome, Refusal) and outcome.not_run
+                self._containment.end_trial(
+                    query.fingerprint,
+                    is_answered=isinstance(outcome, Answer),
+                    is_unsent=is_unsent,
+                )
             if task.soft_deadline_lag_s is not None:
                 record_lag(self.timer_lag, task.soft_deadline_lag_s)
 
--- a/berylspool/version/forwarding.py
+++ b/berylspool/version/forwarding.py
@@ -6,7 +6,7 @@
 """
 
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from berylspool.request.fanout import PinnedMap
 from berylspool.request.fingerprint import fingerprint, hash64
@@ -40,6 +40,7 @@
     "merge_policy",
     "new_query",
     "pin_target",
+    "with_one_copy",
 ]
 
 STABLE_VERSION = ""
@@ -252,6 +253,12 @@
     return PinnedMap(snapshot, target.services, version_by_service)
 
 
+def with_one_copy(query: Query) -> Query:
+    """Return a query of which no part is sent to a second upstream."""
+    assert query.forward is not None
+    return replace(query, forward=replace(query.forward, attempts=1))
+
+
 def new_query(
     request: ForwardRequest,
     route: ForwardRoute,
--- a/berylspool/version/pool/admission.py
+++ b/berylspool/version/pool/admission.py
@@ -72,6 +72,7 @@
     Verdict,
     is_convicted,
     is_suspect,
+    lift_verdict,
     record_verdict,
     remove_expired,
 )
@@ -358,6 +359,9 @@
 def _on_fingerprint_blamed(
     pool: Pool, fingerprint: str, verdict: Verdict, now: float
 ) -> list[PoolAction]:
+    if verdict is Verdict.CLEARED:
+        lift_verdict(pool.verdicts, fingerprint)
+        return []
     record_verdict(pool.verdicts, fingerprint, verdict, now)
     if not is_convicted(pool.verdicts, fingerprint):
         return []
--- a/berylspool/version/pool/quarantine.py
+++ b/berylspool/version/pool/quarantine.py
@@ -17,6 +17,7 @@
     "clear_suspect",
     "is_convicted",
     "is_suspect",
+    "lift_verdict",
     "record_verdict",
     "remove_expired",
 ]
@@ -25,10 +26,17 @@
 
 
 class Verdict(enum.StrEnum):
-    """Status of a fingerprint whose requests lost an upstream."""
+    """Status of a fingerprint whose requests lost an upstream.
+
+    Attributes:
+        SUSPECT: It runs alone.
+        CONVICTED: It does not run.
+        CLEARED: It runs like any other; no table holds this verdict.
+    """
 
     SUSPECT = "suspect"
     CONVICTED = "convicted"
+    CLEARED = "cleared"
 
 
 @dataclass(slots=True)
@@ -81,6 +89,12 @@
         del table.recorded_at_by_fingerprint[fingerprint]
 
 
+def lift_verdict(table: VerdictTable, fingerprint: str) -> None:
+    """Remove any verdict against a fingerprint."""
+    table.verdict_by_fingerprint.pop(fingerprint, None)
+    table.recorded_at_by_fingerprint.pop(fingerprint, None)
+
+
 def is_suspect(table: VerdictTable, fingerprint: str) -> bool:
     """Return whether requests with the fingerprint must run alone."""
     verdict = table.verdict_by_fingerprint.get(fingerprint)
