The second trial of a held request follows after ten seconds

Cause: the first trial comes at once, and may meet an upstream that falls in the outage that held the request. Its callers were then refused for another minute. Change: the waits before the trials are none, ten seconds and ten minutes. Why it works: most outages have ended by then; the number of trials, which the rule on late retries bounds, stays the same.

--- a/berylspool/version/containment/shared_evidence.py
+++ b/berylspool/version/containment/shared_evidence.py
@@ -31,7 +31,7 @@
 
 # A request that is to blame crashes one upstream more in each trial.  Each wait
 # counts from the latest loss; after the last trial there is none.
-TRIAL_WAITS_S = (0.0, 60.0, 600.0)
+TRIAL_WAITS_S = (0.0, 10.0, 600.0)
 # Longer than most requests take.  An entry that ends or has no request in this
 # time leaves the trial to another.
 TRIAL_S = 10.0
