--- a/berylspool/process/entry/forwarding/containment.py
+++ b/berylspool/process/entry/forwarding/containment.py
@@ -19,6 +19,7 @@
     apply_holds,
     convict,
     expire,
+    is_convicted,
     record_failed_trial,
     record_loss,
     record_reply,
@@ -41,7 +42,7 @@
 
 # Many round trips to the leader.
 TRIAL_TIMEOUT_S = 0.1
-# A trial is over by then, and entries have heard of its end.
+# Most trials are over by then, and entries have heard of their end.
 RETRY_AFTER_TRIAL_S = 1.0
 MAX_RETRY_AFTER_S = 60.0
 # Time without a grant after which there is no leader to ask.
@@ -82,7 +83,7 @@
     Args:
         clock: Returns the monotonic time in seconds.
         log: Called with each log event.
-        control: Returns the inbox of the control client.
+        get_control_inbox: Returns the inbox of the control client.
         router: Inbox of the entry's router.
     """
 
@@ -91,13 +92,13 @@
         *,
         clock: Callable[[], float],
         log: Callable[[Event], None],
-        control: Callable[[], Mailbox[Any]],
+        get_control_inbox: Callable[[], Mailbox[Any]],
         router: Mailbox[Any],
     ) -> None:
         self.evidence = CrashEvidence()
         self._clock = clock
         self._log = log
-        self._control = control
+        self._get_control_inbox = get_control_inbox
         self._router = router
         self._heard_at = -math.inf
         # Requests that wait for the leader, which gives one trial at a time.
@@ -128,14 +129,14 @@
                 if fingerprint in self._running - self._failed:
                     self._failed.add(fingerprint)
                     record_failed_trial(self.evidence, fingerprint, now)
-                self._control().put(EvidenceChanged())
+                self._get_control_inbox().put(EvidenceChanged())
             case RowsReply() | ErrorReply() as reply:
                 is_answer = isinstance(reply, RowsReply)
                 self._record_reply(fingerprint, is_answer=is_answer)
 
     def holds(self, fingerprint: str) -> bool:
         """Return whether a request needs a trial to be sent."""
-        return fingerprint in self.evidence.hold_by_fingerprint
+        return is_convicted(self.evidence, fingerprint)
 
     async def admit(self, fingerprint: str) -> Admission:
         """Return whether a request may be sent, which the leader may know."""
@@ -155,14 +156,15 @@
             return Held(min(retry_s, MAX_RETRY_AFTER_S))
         if not await self._ask_for_trial(fingerprint):
             return Held(RETRY_AFTER_TRIAL_S)
-        if fingerprint not in self.evidence.hold_by_fingerprint:
+        if not self.holds(fingerprint):
+            # A reply has released it meanwhile.
             return ADMITTED
         return self._begin_trial(fingerprint)
 
     async def _ask_for_trial(self, fingerprint: str) -> bool:
         inbox: Mailbox[bool] = Mailbox()
         self._inbox_by_fingerprint[fingerprint] = inbox
-        self._control().put(TrialWanted())
+        self._get_control_inbox().put(TrialWanted())
         try:
             return any(await inbox.take(TRIAL_TIMEOUT_S))
         finally:
@@ -205,7 +207,7 @@
             self._release([fingerprint])
         if fingerprint in self.evidence.watched:
             # Other entries wait for it.
-            self._control().put(EvidenceChanged())
+            self._get_control_inbox().put(EvidenceChanged())
 
     def next_report_at(self) -> float:
         """Return when there is news for the leader, in monotonic seconds."""
--- a/berylspool/process/entry/forwarding/forwarder.py
+++ b/berylspool/process/entry/forwarding/forwarder.py
@@ -169,7 +169,7 @@
         self.containment = Containment(
             clock=clock,
             log=self.log.put,
-            control=lambda: self.control.inbox,
+            get_control_inbox=lambda: self.control.inbox,
             router=self.router.inbox,
         )
         self.handler = RequestHandler(
--- a/berylspool/process/entry/forwarding/tests/test_containment.py
+++ b/berylspool/process/entry/forwarding/tests/test_containment.py
@@ -44,7 +44,7 @@
         self.containment = Containment(
             clock=lambda: self.now,
             log=self.events.append,
-            control=lambda: self.control,
+            get_control_inbox=lambda: self.control,
             router=self.router,
         )
 
