Grants repeat what is held only if it has changed

Cause: each grant carried all held and watched requests, four times a second to each entry. Change: what entries are told has a serial, which heartbeats state; a grant has the lists only for an entry without that serial. Requests are watched for a minute after their latest loss, and fewer are told. Why it works: the lists change with losses and replies, not with time.

--- a/berylspool/connection/control_message.py
+++ b/berylspool/connection/control_message.py
@@ -104,7 +104,8 @@
             judgements on upstreams.
         observed: What the entry has observed of upstreams.
         usage: Counts of requests that the leader has not confirmed.
-        accepts_holds: Whether the entry accepts `holds`.
+        known_holds: Serial of the holds that the entry has, 0 without any;
+            None if it does not accept them.
         evidence: Evidence on requests that the leader has not confirmed.
         trials_wanted: Fingerprints of held requests that wait at the entry.
     """
@@ -124,7 +125,7 @@
     accepts_packed: bool = False
     observed: tuple[SlownessReport, ...] = ()
     usage: tuple[WindowUsage, ...] = ()
-    accepts_holds: bool = False
+    known_holds: int | None = None
     evidence: tuple[EvidenceReport, ...] = ()
     trials_wanted: tuple[str, ...] = ()
 
--- a/berylspool/process/control/distribution.py
+++ b/berylspool/process/control/distribution.py
@@ -364,10 +364,10 @@
         newest.table_epoch,
         voter_names,
         ()
-        if heartbeat.accepts_holds
+        if heartbeat.known_holds is not None
         else tuple(held.fingerprint for held in holds.held),
         lent,
         usage_confirmed,
-        holds if heartbeat.accepts_holds else NO_HOLDS,
+        holds if heartbeat.known_holds is not None else NO_HOLDS,
         trials,
     )
--- a/berylspool/process/control/entry_sessions.py
+++ b/berylspool/process/control/entry_sessions.py
@@ -177,7 +177,9 @@
             tuple(node_name_from_id(id) for id in voters),
             lend_copies(self._lending, entry.heartbeat.wanted, now),
             self._collect_usage(entry.heartbeat),
-            make_holds(self._crash_evidence, now),
+            make_holds(
+                self._crash_evidence, now, entry.heartbeat.known_holds or 0
+            ),
             ask_trials(
                 self._crash_evidence,
                 entry.heartbeat.member.name,
--- a/berylspool/process/control/tests/test_entry_sessions.py
+++ b/berylspool/process/control/tests/test_entry_sessions.py
@@ -275,7 +275,7 @@
 def beat(sessions, session, name, now, *losses, **changes):
     """Report that upstreams were lost under "f"; return the grant."""
     reports = (EvidenceReport("f", losses),) if losses else ()
-    fields = {"accepts_holds": True, "evidence": reports, **changes}
+    fields = {"known_holds": 0, "evidence": reports, **changes}
     heartbeat = dataclasses.replace(
         make_heartbeat(), member=Member(name, "127.0.0.1", 1), **fields
     )
@@ -294,10 +294,24 @@
     assert [held.fingerprint for held in grant.holds.held] == ["f"]
     assert beat(sessions, c, "c", 13.1).holds.held
     # Builds without trials get the fingerprint alone.
-    former = beat(sessions, a, "a", 13.2, accepts_holds=False)
+    former = beat(sessions, a, "a", 13.2, known_holds=None)
     assert former.convicted == ("f",) and not former.holds.held
 
 
+def test_holds_are_sent_again_only_if_they_have_changed(sessions):
+    """Guards against lists that are repeated in every grant."""
+    session = FakeSession("1")
+    for number in range(3):
+        loss = LostCopy(f"u{number}", number - 0.5, number)
+        grant = beat(sessions, session, "a", 10.0, loss)
+    serial = grant.holds.serial
+    grant = beat(sessions, session, "a", 10.2, known_holds=serial)
+    assert not grant.holds.held and grant.holds.serial == serial
+    later = LostCopy("u9", 9.0, 9.5)
+    grant = beat(sessions, session, "a", 10.4, later, known_holds=serial)
+    assert grant.holds.held and grant.holds.serial != serial
+
+
 def test_trial_goes_to_one_entry_and_its_answer_releases_all(sessions):
     a, b = FakeSession("1"), FakeSession("2")
     for number in range(3):
--- a/berylspool/process/entry/control_client.py
+++ b/berylspool/process/entry/control_client.py
@@ -205,7 +205,7 @@
             accepts_packed=True,
             observed=self._observations.take(now),
             usage=self._take_usage(now),
-            accepts_holds=containment is not None,
+            known_holds=containment.holds_serial if containment else None,
             evidence=containment.take_report(now) if containment else (),
             trials_wanted=containment.wanted_trials() if containment else (),
         )
--- a/berylspool/process/entry/forwarding/containment.py
+++ b/berylspool/process/entry/forwarding/containment.py
@@ -113,6 +113,11 @@
         """Number of requests that this entry holds."""
         return len(self.evidence.hold_by_fingerprint)
 
+    @property
+    def holds_serial(self) -> int:
+        """Serial of what a leader has told, for the next heartbeat."""
+        return self.evidence.holds_serial
+
     def observe(self, observed_reply: ObservedReply) -> None:
         """Record a lost connection or a reply for the request's fingerprint."""
         fingerprint = observed_reply.part.fingerprint
--- a/berylspool/version/containment/entry_evidence.py
+++ b/berylspool/version/containment/entry_evidence.py
@@ -81,7 +81,9 @@
     Attributes:
         record_by_fingerprint: What this entry has seen.
         hold_by_fingerprint: Requests that this entry must not send.
+        told: Requests that the leader holds.
         watched: Requests whose replies the leader wants to know of.
+        holds_serial: Serial of what the leader has told; 0 to be told again.
         taken_at: Time of the latest report, in monotonic seconds.
         term: Term of the leader that the confirmed records are with.
         reported_by_time: Fingerprints of the reports without a confirmation,
@@ -90,7 +92,9 @@
 
     record_by_fingerprint: dict[str, EntryRecord] = field(default_factory=dict)
     hold_by_fingerprint: dict[str, Hold] = field(default_factory=dict)
+    told: set[str] = field(default_factory=set)
     watched: set[str] = field(default_factory=set)
+    holds_serial: int = 0
     taken_at: float = float("-inf")
     term: int = 0
     reported_by_time: dict[float, tuple[str, ...]] = field(default_factory=dict)
@@ -172,7 +176,11 @@
     if is_answer:
         record.answered_at = now
     record.due_at = now if is_told or record.is_shared else float("inf")
-    return evidence.hold_by_fingerprint.pop(fingerprint, None) is not None
+    if evidence.hold_by_fingerprint.pop(fingerprint, None) is None:
+        return False
+    # The leader may know of a later loss, and go on to hold it.
+    evidence.holds_serial = 0
+    return True
 
 
 def convict(evidence: CrashEvidence, now: float) -> list[str]:
@@ -247,8 +255,28 @@
         Fingerprints that were not held before, and those released.
     """
     hold_by_fingerprint = evidence.hold_by_fingerprint
-    told = {held.fingerprint for held in holds.held}
-    evidence.watched = told.union(holds.watched)
+    added: list[str] = []
+    if not holds.serial or holds.serial != evidence.holds_serial:
+        evidence.holds_serial = holds.serial
+        added = _take_over(evidence, holds, now)
+    for fingerprint in evidence.told & hold_by_fingerprint.keys():
+        hold = hold_by_fingerprint[fingerprint]
+        hold_by_fingerprint[fingerprint] = replace(hold, heard_at=now)
+    released = [
+        fingerprint
+        for fingerprint in hold_by_fingerprint
+        if fingerprint not in evidence.told
+        and _is_confirmed(evidence, fingerprint)
+    ]
+    _release(evidence, released)
+    return added, released
+
+
+def _take_over(evidence: CrashEvidence, holds: Holds, now: float) -> list[str]:
+    """Take over what has changed; return what was not held before."""
+    hold_by_fingerprint = evidence.hold_by_fingerprint
+    evidence.told = {held.fingerprint for held in holds.held}
+    evidence.watched = evidence.told.union(holds.watched)
     added = []
     for held in holds.held:
         record = evidence.record_by_fingerprint.get(held.fingerprint)
@@ -267,13 +295,7 @@
             else float("inf"),
             now,
         )
-    released = [
-        fingerprint
-        for fingerprint in hold_by_fingerprint
-        if fingerprint not in told and _is_confirmed(evidence, fingerprint)
-    ]
-    _release(evidence, released)
-    return added, released
+    return added
 
 
 def _is_confirmed(evidence: CrashEvidence, fingerprint: str) -> bool:
--- a/berylspool/version/containment/evidence.py
+++ b/berylspool/version/containment/evidence.py
@@ -95,11 +95,14 @@
         term: Term of the leader; 0 if it keeps no evidence.
         held: Requests that must not be sent.
         watched: Fingerprints of requests whose answers are worth reporting.
+        serial: Number that changes with `held` and `watched`, which are empty
+            if the entry has those of this number; 0 if they are always sent.
     """
 
     term: int = 0
     held: tuple[HeldRequest, ...] = ()
     watched: tuple[str, ...] = ()
+    serial: int = 0
 
 
 def count_losses_in_a_row(losses: Iterable[LostCopy]) -> int:
--- a/berylspool/version/containment/shared_evidence.py
+++ b/berylspool/version/containment/shared_evidence.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
 from berylspool.version.containment.evidence import (
     TRUST_S,
@@ -40,8 +41,12 @@
 EXPIRY_INTERVAL_S = 5.0
 MAX_FINGERPRINTS = 4_096
 # Limits on what each grant carries.
-MAX_HELD_TOLD = 24
-MAX_WATCHED_TOLD = 32
+MAX_HELD_TOLD = 16
+MAX_WATCHED_TOLD = 8
+# A request that is lost twice and never sent again is worth no more attention.
+WATCHED_S = 60.0
+# More than the changes in a term, so that no two terms share a serial.
+SERIALS_PER_TERM = 1 << 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +104,8 @@
         held: Fingerprints that are held, the latest to change last.
         watched: Fingerprints that one more loss would put the blame on, in the
             same order.
+        serial: Number of what entries are told, unique among all terms.
+        told: What that is made of.
     """
 
     term: int = 0
@@ -106,6 +113,8 @@
     record_by_fingerprint: dict[str, SharedRecord] = field(default_factory=dict)
     held: dict[str, None] = field(default_factory=dict)
     watched: dict[str, None] = field(default_factory=dict)
+    serial: int = 0
+    told: tuple[tuple[Any, ...], ...] = ()
 
 
 def add_reports(
@@ -191,17 +200,40 @@
             _add_report(evidence, report)
 
 
-def make_holds(evidence: SharedEvidence, now: float) -> Holds:
-    """Return what to tell entries; the latest first where not all fits."""
+def make_holds(
+    evidence: SharedEvidence, now: float, known_serial: int = 0
+) -> Holds:
+    """Return what to tell an entry; the latest where not all fits.
+
+    Args:
+        evidence: Evidence to read; its serial changes with what is told.
+        now: Monotonic time in seconds.
+        known_serial: Serial of what the entry has.
+    """
+    held = list(evidence.held)[-MAX_HELD_TOLD:]
+    watched = tuple(list(evidence.watched)[-MAX_WATCHED_TOLD:])
+    records = [evidence.record_by_fingerprint[f] for f in held]
+    told = (
+        watched,
+        *(
+            (fingerprint, record.lost_at, record.failed_trials, record.trial)
+            for fingerprint, record in zip(held, records, strict=True)
+        ),
+    )
+    if not evidence.serial or told != evidence.told:
+        evidence.told = told
+        first = evidence.term * SERIALS_PER_TERM
+        evidence.serial = max(evidence.serial, first) + 1
+    if known_serial == evidence.serial:
+        return Holds(evidence.term, serial=evidence.serial)
     return Holds(
         evidence.term,
         tuple(
-            _make_held(
-                evidence.record_by_fingerprint[fingerprint], fingerprint, now
-            )
-            for fingerprint in list(evidence.held)[-MAX_HELD_TOLD:]
+            _make_held(record, fingerprint, now)
+            for fingerprint, record in zip(held, records, strict=True)
         ),
-        tuple(list(evidence.watched)[-MAX_WATCHED_TOLD:]),
+        watched,
+        evidence.serial,
     )
 
 
@@ -261,6 +293,12 @@
     if now - evidence.expired_at < EXPIRY_INTERVAL_S:
         return
     evidence.expired_at = now
+    evidence.watched = {
+        fingerprint: None
+        for fingerprint in evidence.watched
+        if now - evidence.record_by_fingerprint[fingerprint].changed_at
+        <= WATCHED_S
+    }
     _drop(
         evidence,
         [
--- a/berylspool/version/containment/tests/simulated_entries.py
+++ b/berylspool/version/containment/tests/simulated_entries.py
@@ -87,7 +87,8 @@
         for _ in range(times):
             add_reports(self.shared, reports, self.now - at)
         trials = ask_trials(self.shared, entry.name, wanted, self.now)
-        holds = make_holds(self.shared, self.now)
+        known = entry.evidence.holds_serial
+        holds = make_holds(self.shared, self.now, known)
         if self.random.random() < self.loss_share:
             return ()
         confirm_report(entry.evidence, at, holds.term, at)
--- a/berylspool/version/containment/tests/test_shared_evidence.py
+++ b/berylspool/version/containment/tests/test_shared_evidence.py
@@ -242,10 +242,21 @@
     assert list(evidence.held) == ["f"]
 
 
+def test_request_that_is_not_sent_again_is_watched_for_a_while():
+    evidence = SharedEvidence(1)
+    add_reports(evidence, REPORTS[:2], 0.0)
+    expire(evidence, 30.0)
+    assert make_holds(evidence, 30.0).watched == ("f",)
+    expire(evidence, 90.0)
+    assert not make_holds(evidence, 90.0).watched
+    add_reports(evidence, REPORTS[2:3], 100.0)
+    assert list(evidence.held) == ["f"]
+
+
 def test_old_evidence_is_forgotten():
     evidence = SharedEvidence(1)
     add_reports(evidence, REPORTS[:2], 0.0)
     expire(evidence, 300.0)
-    assert evidence.watched
+    assert evidence.record_by_fingerprint
     expire(evidence, 700.0)
     assert not evidence.watched and not evidence.record_by_fingerprint
